--- /dev/null
+++ b/views.go
@@ -0,0 +1,77 @@
+package quetzalmount
+
+import "time"
+
+// MemberState is the state of a router or an endpoint.
+type MemberState string
+
+// Member states.
+const (
+	// Live members take work.
+	Live MemberState = "Live"
+	// Leaving members finish what they have and take no new work.
+	Leaving MemberState = "Leaving"
+	// Suspect members failed recently; they get work only if no live one is left.
+	Suspect MemberState = "Suspect"
+)
+
+// EndpointKind tells engines from plain services and stores.
+type EndpointKind string
+
+// Kinds of members in the instance list.
+const (
+	KindRouter  EndpointKind = "Router"
+	KindEngine  EndpointKind = "Engine"
+	KindService EndpointKind = "Service"
+	KindCache   EndpointKind = "Cache"
+	KindWeights EndpointKind = "Weights"
+)
+
+// Member is a router as seen from this one.
+type Member struct {
+	Instance InstanceID
+	// Address is for callers, PeerAddress for routers, AdminAddress for operators; each is host:port.
+	Address, PeerAddress, AdminAddress string
+	DataCentre                         DataCentre
+	Region                             string
+	State                              MemberState
+	Incarnation                        Incarnation
+	// TableOffset is the last configuration offset that the router reported, 0 if not known.
+	TableOffset Offset
+	// Self marks this router.
+	Self bool
+}
+
+// Endpoint is an engine or a process of a plain service as seen from this router. It is immutable.
+type Endpoint struct {
+	ID         EndpointID
+	Kind       EndpointKind
+	Group      GroupID
+	Address    string
+	DataCentre DataCentre
+	State      MemberState
+	// Incarnation is empty until the endpoint was reached once.
+	Incarnation Incarnation
+	Load        Load
+	// ReportedAt is when Load was received; the report itself lags.
+	ReportedAt time.Time
+	Version    VersionID
+	Adapters   []AdapterID
+	Role       string
+}
+
+// Load is an engine's own report.
+type Load struct {
+	// Running and Waiting count requests, Slots is the batch size.
+	Running, Waiting, Slots int
+	// QueuedTokens is the prompt tokens that wait for prefill.
+	QueuedTokens Tokens
+	// CapacityBlocks, UsedBlocks and EvictedBlocks describe the prefix cache; EvictedBlocks only grows.
+	CapacityBlocks, UsedBlocks, EvictedBlocks int64
+}
+
+// Members is an immutable list of routers ordered by id.
+type Members []Member
+
+// Endpoints is an immutable list of endpoints ordered by id.
+type Endpoints []*Endpoint
