--- /dev/null
+++ b/internal/infra/conf/conf.go
@@ -0,0 +1,319 @@
+// Package conf reads the settings of one router process from an INI file.
+//
+// Every key is declared once, in Keys, with its default, its range and its documentation. The annotated example file is
+// made from the same declarations. A file with an unknown section or key, or with a value out of range, is refused as a
+// whole, and every fault is reported with file, section and key.
+package conf
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"gopkg.in/ini.v1"
+)
+
+// Settings of one router. Sections of the file are groups of fields here.
+type Settings struct {
+	Instance, DataCentre, Region string
+
+	CallersAddress, OperatorsAddress, PeersAddress string
+
+	CallersCert, CallersKey, OperatorsCert, OperatorsKey string
+
+	OperatorKeyHash, PeerKey string
+
+	LogAddress   string
+	LogRetention time.Duration
+	CommitEvery  time.Duration
+
+	ListAddress string
+	ListEvery   time.Duration
+
+	PeerRound time.Duration
+
+	EntrySlots    int
+	FloorFraction float64
+	MaxBodyBytes  int64
+	MaxConns      int
+
+	ReadHeader, ReadBody, WriteStall             time.Duration
+	FirstToken, Progress, Request, Heartbeat     time.Duration
+	AdviceValidity, StopLimit, MaxConnAge        time.Duration
+	LoadEvery, EventsEvery                       time.Duration
+	MaxLoads                                     int
+	Policy, LogLevel                             string
+	MeteredTeams                                 int
+	DefaultOutputTokens, QueueLength, EngineLoad int
+}
+
+// Keys returns the declaration of every key, in the order of the example file.
+func Keys() []Key {
+	var keys []Key
+	keys = append(keys, identityKeys()...)
+	keys = append(keys, platformKeys()...)
+	keys = append(keys, limitKeys()...)
+	keys = append(keys, timeKeys()...)
+	return append(keys, otherKeys()...)
+}
+
+func identityKeys() []Key {
+	return []Key{
+		name("Instance", "Name", "Name of this instance, as in the instance list.",
+			func(s *Settings) *string { return &s.Instance }),
+		name("Instance", "DataCentre", "Data centre of this instance.", func(s *Settings) *string { return &s.DataCentre }),
+		name("Instance", "Region", "Region of the data centre.", func(s *Settings) *string { return &s.Region }),
+		address("Listen", "Callers", "127.0.0.1:8080", "Address for callers.",
+			func(s *Settings) *string { return &s.CallersAddress }),
+		address("Listen", "Operators", "127.0.0.1:8081", "Address for operators and for scraping metrics.",
+			func(s *Settings) *string { return &s.OperatorsAddress }),
+		address("Listen", "Peers", "127.0.0.1:8082", "Address for the other routers.",
+			func(s *Settings) *string { return &s.PeersAddress }),
+		optional(text("TLS", "CallersCert", "", "Certificate file for callers. Empty turns TLS off.",
+			func(s *Settings) *string { return &s.CallersCert })),
+		optional(text("TLS", "CallersKey", "", "Key file of CallersCert.", func(s *Settings) *string { return &s.CallersKey })),
+		optional(text("TLS", "OperatorsCert", "", "Certificate file for operators. Empty turns TLS off.",
+			func(s *Settings) *string { return &s.OperatorsCert })),
+		optional(text("TLS", "OperatorsKey", "", "Key file of OperatorsCert.",
+			func(s *Settings) *string { return &s.OperatorsKey })),
+		hash("Operators", "KeyHash", "SHA-256 of the operators' key in hex, as printed by `quetzalmount table hash-key`.",
+			func(s *Settings) *string { return &s.OperatorKeyHash }),
+		text("Peers", "Key", "", "Shared key that routers prove to each other, at least 16 characters.",
+			func(s *Settings) *string { return &s.PeerKey }),
+	}
+}
+
+func platformKeys() []Key {
+	return []Key{
+		address("Log", "Address", "127.0.0.1:7001", "Address of the platform's log service.",
+			func(s *Settings) *string { return &s.LogAddress }),
+		duration("Log", "Retention", "24h", time.Second, 365*24*time.Hour,
+			"How long the log service keeps records. Live state is appended again at half of it.",
+			func(s *Settings) *time.Duration { return &s.LogRetention }),
+		duration("Log", "CommitEvery", "150ms", time.Millisecond, 10*time.Second,
+			"Shortest time between two appends of this instance to one claims stream.",
+			func(s *Settings) *time.Duration { return &s.CommitEvery }),
+		address("List", "Address", "127.0.0.1:7002", "Address of the platform's instance list.",
+			func(s *Settings) *string { return &s.ListAddress }),
+		duration("List", "Every", "1s", 10*time.Millisecond, time.Hour, "Time between two reads of the instance list.",
+			func(s *Settings) *time.Duration { return &s.ListEvery }),
+		duration("Peers", "Round", "500ms", 10*time.Millisecond, time.Minute,
+			"Time between two exchanges with other routers.", func(s *Settings) *time.Duration { return &s.PeerRound }),
+	}
+}
+
+func limitKeys() []Key {
+	return []Key{
+		numeric("Limits", "EntrySlots", "6", 1, 10000,
+			"Number of entry instances. Each owns FloorFraction / EntrySlots of every limit. Equal on all instances.",
+			func(s *Settings) *int { return &s.EntrySlots }),
+		numeric("Limits", "FloorFraction", "0.25", 0, 1,
+			"Part of every limit that is divided among the instances for good; the rest is leased. Equal on all instances.",
+			func(s *Settings) *float64 { return &s.FloorFraction }),
+		numeric("Limits", "MaxBodyBytes", "8388608", int64(1024), int64(1<<30), "Largest body of a request, in bytes.",
+			func(s *Settings) *int64 { return &s.MaxBodyBytes }),
+		numeric("Limits", "MaxConns", "4096", 1, 1<<20, "Most connections of callers at the same time.",
+			func(s *Settings) *int { return &s.MaxConns }),
+		numeric("Limits", "DefaultOutputTokens", "1024", 1, 1000000,
+			"Output tokens reserved for a request that does not set max_tokens.",
+			func(s *Settings) *int { return &s.DefaultOutputTokens }),
+		numeric("Limits", "QueueLength", "64", 1, 100000, "Queue length of teams whose row does not set one.",
+			func(s *Settings) *int { return &s.QueueLength }),
+		numeric("Limits", "EngineLoad", "150", 10, 10000,
+			"Requests that the routers together keep at an engine, in percent of its slots. The rest waits in the fair queue.",
+			func(s *Settings) *int { return &s.EngineLoad }),
+	}
+}
+
+func timeKeys() []Key {
+	return []Key{
+		duration("Timeouts", "ReadHeader", "5s", time.Millisecond, time.Hour, "Time for a caller to send its headers.",
+			func(s *Settings) *time.Duration { return &s.ReadHeader }),
+		duration("Timeouts", "ReadBody", "30s", time.Millisecond, time.Hour, "Time for a caller to send a whole request.",
+			func(s *Settings) *time.Duration { return &s.ReadBody }),
+		duration("Timeouts", "WriteStall", "30s", time.Millisecond, time.Hour,
+			"A caller that takes no data of its stream for this long is disconnected.",
+			func(s *Settings) *time.Duration { return &s.WriteStall }),
+		duration("Timeouts", "FirstToken", "20s", time.Millisecond, time.Hour,
+			"Time that an engine has for the first token before another engine is tried.",
+			func(s *Settings) *time.Duration { return &s.FirstToken }),
+		duration("Timeouts", "Progress", "2s", time.Millisecond, time.Hour,
+			"A stream without a chunk for this long is resumed over a new connection.",
+			func(s *Settings) *time.Duration { return &s.Progress }),
+		duration("Timeouts", "Request", "120s", time.Millisecond, 24*time.Hour, "Deadline of a request that names none.",
+			func(s *Settings) *time.Duration { return &s.Request }),
+		duration("Timeouts", "Heartbeat", "5s", time.Millisecond, time.Hour,
+			"Time between the comments that a waiting stream sends to its caller.",
+			func(s *Settings) *time.Duration { return &s.Heartbeat }),
+		duration("Timeouts", "Stop", "150s", time.Millisecond, 24*time.Hour,
+			"Longest time that a graceful stop waits for open requests.",
+			func(s *Settings) *time.Duration { return &s.StopLimit }),
+		duration("Timeouts", "MaxConnAge", "60s", time.Millisecond, 24*time.Hour,
+			"Age at which a pooled connection to an endpoint is closed.",
+			func(s *Settings) *time.Duration { return &s.MaxConnAge }),
+		duration("Advice", "Validity", "10s", 100*time.Millisecond, time.Hour,
+			"How long callers may keep the address advice. A stopping instance accepts requests for this long.",
+			func(s *Settings) *time.Duration { return &s.AdviceValidity }),
+	}
+}
+
+func otherKeys() []Key {
+	return []Key{
+		duration("Engines", "LoadEvery", "250ms", 10*time.Millisecond, time.Minute,
+			"Time between two load reports that are fetched from an engine.",
+			func(s *Settings) *time.Duration { return &s.LoadEvery }),
+		duration("Engines", "EventsEvery", "500ms", 10*time.Millisecond, time.Minute,
+			"Time between two reads of an engine's cache events.", func(s *Settings) *time.Duration { return &s.EventsEvery }),
+		numeric("Engines", "MaxLoads", "2", 1, 100, "Most engines of a deployment that load weights at the same time.",
+			func(s *Settings) *int { return &s.MaxLoads }),
+		choice("Placement", "Policy", "expected", []string{"expected", "random", "least", "hash"},
+			"Placement policy; all but expected are for comparison.", func(s *Settings) *string { return &s.Policy }),
+		choice("Logs", "Level", "info", []string{"debug", "info", "error"}, "Least severe log lines that are written.",
+			func(s *Settings) *string { return &s.LogLevel }),
+		numeric("Metrics", "Teams", "200", 1, 100000,
+			"Most teams with histograms of their own on this instance; further teams share the label other.",
+			func(s *Settings) *int { return &s.MeteredTeams }),
+	}
+}
+
+func hash(section, key, doc string, field func(*Settings) *string) Key {
+	k := text(section, key, "", doc, field)
+	set := k.set
+	k.set = func(s *Settings, v string) error {
+		if len(v) != 64 || strings.Trim(v, "0123456789abcdef") != "" {
+			return errors.New("want 64 hexadecimal digits in lower case")
+		}
+		return set(s, v)
+	}
+	return k
+}
+
+// Faults lists everything that is wrong with a settings file.
+type Faults []string
+
+// Error returns one line for each fault.
+func (f Faults) Error() string { return strings.Join(f, "\n") }
+
+// Load reads a settings file.
+func Load(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.WithMessage(err, "read settings")
+	}
+	return Parse(path, data)
+}
+
+// Parse reads settings from data. file is the name used in errors.
+func Parse(file string, data []byte) (*Settings, error) {
+	f, err := ini.LoadSources(ini.LoadOptions{SpaceBeforeInlineComment: true, AllowShadows: true}, data)
+	if err != nil {
+		return nil, Faults{fmt.Sprintf("%s: %v", file, err)}
+	}
+	var faults Faults
+	known := make(map[string]bool)
+	s := &Settings{}
+	for _, k := range Keys() {
+		known[k.Section] = true
+		known[k.Section+"."+k.Name] = true
+		if err := k.read(f, s); err != nil {
+			faults = append(faults, fmt.Sprintf("%s: [%s] %s: %v", file, k.Section, k.Name, err))
+		}
+	}
+	faults = append(faults, unknown(file, f, known)...)
+	faults = append(faults, s.check(file)...)
+	if len(faults) > 0 {
+		return nil, faults
+	}
+	return s, nil
+}
+
+func (k Key) read(f *ini.File, s *Settings) error {
+	value := k.Default
+	if sec, err := f.GetSection(k.Section); err == nil && sec.HasKey(k.Name) {
+		key := sec.Key(k.Name)
+		if len(key.ValueWithShadows()) > 1 {
+			return errors.New("is set more than once")
+		}
+		value = key.Value()
+	}
+	if value == "" {
+		if k.Optional {
+			return nil
+		}
+		return errors.New("is missing")
+	}
+	return k.set(s, value)
+}
+
+func unknown(file string, f *ini.File, known map[string]bool) Faults {
+	var faults Faults
+	for _, sec := range f.Sections() {
+		if sec.Name() != ini.DefaultSection && !known[sec.Name()] {
+			faults = append(faults, fmt.Sprintf("%s: [%s]: unknown section", file, sec.Name()))
+			continue
+		}
+		for _, key := range sec.Keys() {
+			if !known[sec.Name()+"."+key.Name()] {
+				faults = append(faults, fmt.Sprintf("%s: [%s] %s: unknown key", file, sec.Name(), key.Name()))
+			}
+		}
+	}
+	return faults
+}
+
+// check finds faults that concern several keys.
+func (s *Settings) check(file string) Faults {
+	var faults Faults
+	add := func(section, key, msg string) {
+		faults = append(faults, fmt.Sprintf("%s: [%s] %s: %s", file, section, key, msg))
+	}
+	if (s.CallersCert == "") != (s.CallersKey == "") {
+		add("TLS", "CallersKey", "CallersCert and CallersKey go together")
+	}
+	if (s.OperatorsCert == "") != (s.OperatorsKey == "") {
+		add("TLS", "OperatorsKey", "OperatorsCert and OperatorsKey go together")
+	}
+	if s.PeerKey != "" && len(s.PeerKey) < 16 {
+		add("Peers", "Key", "is shorter than 16 characters")
+	}
+	if s.Progress > s.Request {
+		add("Timeouts", "Progress", "is longer than Request")
+	}
+	return faults
+}
+
+// Example returns an annotated settings file with every key at its default.
+func Example() []byte {
+	var b bytes.Buffer
+	b.WriteString("# Settings of one quetzalmount router. `quetzalmount check --settings FILE` checks a file.\n")
+	section := ""
+	for _, k := range Keys() {
+		if k.Section != section {
+			section = k.Section
+			fmt.Fprintf(&b, "\n[%s]\n", section)
+		}
+		fmt.Fprintf(&b, "# %s\n", k.Doc)
+		switch {
+		case k.Default != "":
+			fmt.Fprintf(&b, "%s = %s\n", k.Name, k.Default)
+		case k.Optional:
+			fmt.Fprintf(&b, "# %s =\n", k.Name)
+		default:
+			fmt.Fprintf(&b, "%s = %s\n", k.Name, exampleValues[k.Section+"."+k.Name])
+		}
+	}
+	return b.Bytes()
+}
+
+// exampleValues are used in the example file for required keys without a default.
+var exampleValues = map[string]string{
+	"Instance.Name":       "entry-1",
+	"Instance.DataCentre": "dub-a",
+	"Instance.Region":     "eu-dub",
+	// SHA-256 of "demo-operator-key", for the demo only.
+	"Operators.KeyHash": "4a7c449d22a99026fac16a47621ff68792ff589f72334ea3950ce186a5615e9a",
+	"Peers.Key":         "change-me-before-use",
+}
--- /dev/null
+++ b/internal/infra/meter/meter_test.go
@@ -0,0 +1,42 @@
+package meter_test
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qm "quetzalmount.dev/quetzalmount"
+	"quetzalmount.dev/quetzalmount/internal/infra/meter"
+)
+
+func scrape(t *testing.T, m *meter.Meter) string {
+	t.Helper()
+	w := httptest.NewRecorder()
+	m.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	return w.Body.String()
+}
+
+// TestTeamsHaveHistograms guards against metrics that mix the teams below the bound, or grow above it.
+func TestTeamsHaveHistograms(t *testing.T) {
+	m := meter.New("entry-1", 2)
+	for _, team := range []qm.TeamID{"a", "b", "c", "d"} {
+		m.Team(team).FirstToken(100*time.Millisecond, 400, 300)
+		m.Team(team).Request(meter.Completion, qm.Done, "", time.Second)
+	}
+	// Closing reports what the scope still holds.
+	if err := m.Close(); err != nil {
+		t.Fatal(err)
+	}
+	out := scrape(t, m)
+	for _, want := range []string{`team="a"`, `team="b"`, `team="other"`, "quetzalmount_ttft_seconds_bucket", "quetzalmount_request_seconds_bucket"} {
+		if !strings.Contains(out, want) {
+			t.Errorf("scrape lacks %s", want)
+		}
+	}
+	for _, bad := range []string{`team="c"`, `team="d"`} {
+		if strings.Contains(out, bad) {
+			t.Errorf("scrape has %s above the bound", bad)
+		}
+	}
+}
