Add the callers' handlers

Cause: callers need the completions protocol with typed errors, event streams with heartbeats, plain calls and advice. A handler waits for the first chunk before it answers a stream, so that a refusal keeps its own status; a longer wait starts the stream with comments. Every stream ends with [DONE] or with an error event. Ruled out: setting Connection: close by hand on each handler, because one wrapper sees every answer; a write timeout on the server, because it would cut long streams, so each write has its own deadline.

--- /dev/null
+++ b/internal/entry/front/calls.go
@@ -0,0 +1,128 @@
+package front
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+	"unicode/utf8"
+
+	"github.com/go-faster/jx"
+
+	qm "quetzalmount.dev/quetzalmount"
+	"quetzalmount.dev/quetzalmount/internal/infra/logs"
+	"quetzalmount.dev/quetzalmount/internal/infra/meter"
+	"quetzalmount.dev/quetzalmount/internal/wire/caller"
+)
+
+// CallService sends a call to a plain service.
+func (h *Handler) CallService(ctx context.Context, body jx.Raw, p caller.CallServiceParams) (caller.CallServiceRes, error) {
+	start := time.Now()
+	c, err := h.newCall(ctx, body, p)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, h.callTimeout(c.Service, p))
+	defer cancel()
+	r, err := h.run(ctx, c)
+	series := h.deps.Meter.Team(c.Team)
+	if err != nil {
+		e := qm.AsError(err)
+		series.Request(meter.PlainCall, e.Outcome, e.Code, time.Since(start))
+		h.deps.Log.Info("call failed", logs.RequestID, c.Request, logs.Team, c.Team, logs.Step, e.Step, logs.Peer, e.Peer,
+			logs.Outcome, e.Outcome, logs.Code, e.Code)
+		return nil, e
+	}
+	series.Request(meter.PlainCall, r.Outcome, "", time.Since(start))
+	op := operation(r)
+	if r.Outcome == qm.Unknown {
+		res := caller.CallServiceAccepted(op)
+		return &res, nil
+	}
+	res := caller.CallServiceOK(op)
+	return &res, nil
+}
+
+func (h *Handler) newCall(ctx context.Context, body jx.Raw, p caller.CallServiceParams) (*qm.Call, error) {
+	t, err := team(ctx)
+	if err != nil {
+		return nil, err
+	}
+	svc, err := h.service(p.Service)
+	if err != nil {
+		return nil, err
+	}
+	if !utf8.Valid(body) {
+		return nil, errNotUTF8()
+	}
+	return &qm.Call{
+		Team: t.ID, Service: svc, Name: p.Call, Key: p.IdempotencyKey.Or(""), Body: json.RawMessage(body),
+		Request: requestID(ctx),
+	}, nil
+}
+
+func (h *Handler) service(name string) (*qm.Service, error) {
+	config, err := h.config()
+	if err != nil {
+		return nil, err
+	}
+	svc, ok := config.Services[qm.ServiceID(name)]
+	if !ok {
+		return nil, qm.Refuse(qm.CodeNotFound, "find service", "There is no service %q; check its name.", name)
+	}
+	return svc, nil
+}
+
+// run sends calls that may be repeated straight to the service and all others through the claims.
+func (h *Handler) run(ctx context.Context, c *qm.Call) (qm.Result, error) {
+	if c.Service.IsRepeatable(c.Name) {
+		return h.deps.Repeat(ctx, c)
+	}
+	return h.deps.Claims.Run(ctx, c)
+}
+
+// callTimeout returns the shortest of the caller's, the service's and the default time.
+func (h *Handler) callTimeout(svc *qm.Service, p caller.CallServiceParams) time.Duration {
+	d := h.opts.Request
+	if svc.Timeout > 0 {
+		d = min(d, svc.Timeout)
+	}
+	if ms, ok := p.XTimeoutMs.Get(); ok {
+		d = min(d, time.Duration(ms)*time.Millisecond)
+	}
+	return d
+}
+
+// GetOperation looks a call up by its operation id.
+func (h *Handler) GetOperation(ctx context.Context, p caller.GetOperationParams) (*caller.Operation, error) {
+	t, err := team(ctx)
+	if err != nil {
+		return nil, err
+	}
+	svc, err := h.service(p.Service)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, h.opts.Request)
+	defer cancel()
+	r, err := h.deps.Claims.Lookup(ctx, t.ID, svc, qm.OperationID(p.Operation))
+	if err != nil {
+		return nil, err
+	}
+	op := operation(r)
+	return &op, nil
+}
+
+func operation(r qm.Result) caller.Operation {
+	op := caller.Operation{Operation: string(r.Operation), Outcome: caller.Outcome(r.Outcome), Answer: jx.Raw(r.Answer)}
+	if r.Status != 0 {
+		op.Status = caller.NewOptInt(r.Status)
+	}
+	if r.Repeated {
+		op.Repeated = caller.NewOptBool(true)
+	}
+	return op
+}
+
+func errNotUTF8() *qm.Error {
+	return qm.Refuse(qm.CodeBadRequest, "read body", "The body is not valid UTF-8; encode it as UTF-8.")
+}
--- /dev/null
+++ b/internal/entry/front/chat.go
@@ -0,0 +1,205 @@
+package front
+
+import (
+	"context"
+	"strings"
+	"time"
+	"unicode/utf8"
+
+	qm "quetzalmount.dev/quetzalmount"
+	"quetzalmount.dev/quetzalmount/internal/infra/logs"
+	"quetzalmount.dev/quetzalmount/internal/infra/meter"
+	"quetzalmount.dev/quetzalmount/internal/wire/caller"
+)
+
+// CreateChatCompletion runs a completion and answers it whole or as an event stream.
+func (h *Handler) CreateChatCompletion(
+	ctx context.Context, r *caller.ChatCompletionRequest,
+) (caller.CreateChatCompletionRes, error) {
+	c, err := h.newCompletion(ctx, r)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, h.opts.Request)
+	run := h.start(ctx, cancel, c)
+	if r.Stream.Or(false) {
+		return h.answerStream(run, c)
+	}
+	defer run.Close()
+	return h.answerWhole(run, c)
+}
+
+func (h *Handler) newCompletion(ctx context.Context, r *caller.ChatCompletionRequest) (*Completion, error) {
+	t, err := team(ctx)
+	if err != nil {
+		return nil, err
+	}
+	config, err := h.config()
+	if err != nil {
+		return nil, err
+	}
+	model, ok := config.Models[qm.ModelID(r.Model)]
+	if !ok {
+		return nil, qm.Refuse(qm.CodeNotFound, "find model",
+			"There is no model %q; GET /v1/models lists the models.", r.Model)
+	}
+	c := &Completion{Request: requestID(ctx), Team: t, Model: model, MaxTokens: h.opts.DefaultOutputTokens}
+	if v, ok := r.MaxTokens.Get(); ok {
+		c.MaxTokens = qm.Tokens(v)
+	}
+	if v, ok := r.MaxCompletionTokens.Get(); ok {
+		c.MaxTokens = qm.Tokens(v)
+	}
+	for _, m := range r.Messages {
+		text, err := contentText(m.Content)
+		if err != nil {
+			return nil, err
+		}
+		if !utf8.ValidString(m.Role) || !utf8.ValidString(text) {
+			return nil, errNotUTF8()
+		}
+		c.Messages = append(c.Messages, qm.Message{Role: m.Role, Content: text})
+		c.PromptBytes += len(text)
+	}
+	return c, checkPromptLimit(c)
+}
+
+func checkPromptLimit(c *Completion) error {
+	limit := c.Team.Limits.MaxPromptTokens
+	if n := qm.EstimateTokens(c.PromptBytes); limit > 0 && n > limit {
+		return qm.Refuse(qm.CodeTooLarge, "check prompt",
+			"The prompt has about %d tokens and your team may send %d; shorten it.", n, limit)
+	}
+	return nil
+}
+
+// contentText joins the text parts of a message.
+func contentText(c caller.MessageContent) (string, error) {
+	if c.IsString() {
+		return c.String, nil
+	}
+	var b strings.Builder
+	for _, p := range c.MessagePartArray {
+		if p.Type != "text" {
+			return "", qm.Refuse(qm.CodeBadRequest, "read message",
+				"Message parts of type %q are not served; send text parts.", p.Type)
+		}
+		b.WriteString(p.Text.Or(""))
+	}
+	return b.String(), nil
+}
+
+// completionRun is a completion in progress. Its chunks are taken from Chunks; then Err has the result.
+type completionRun struct {
+	Chunks chan qm.Chunk
+	cancel context.CancelFunc
+	done   chan struct{}
+	err    error
+}
+
+// start runs a completion in the background.
+func (h *Handler) start(ctx context.Context, cancel context.CancelFunc, c *Completion) *completionRun {
+	run := &completionRun{Chunks: make(chan qm.Chunk), cancel: cancel, done: make(chan struct{})}
+	go func() {
+		defer close(run.done)
+		defer close(run.Chunks)
+		run.err = h.complete(ctx, c, func(chunk qm.Chunk) error {
+			select {
+			case run.Chunks <- chunk:
+				return nil
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		})
+	}()
+	return run
+}
+
+// Err waits for the end of the run and returns its error.
+func (r *completionRun) Err() error {
+	<-r.done
+	return r.err
+}
+
+// Close ends the run and waits until nothing of it is left.
+func (r *completionRun) Close() {
+	r.cancel()
+	<-r.done
+}
+
+// complete runs the completion with metrics and a log line for a failure.
+func (h *Handler) complete(ctx context.Context, c *Completion, deliver func(qm.Chunk) error) error {
+	start := time.Now()
+	series := h.deps.Meter.Team(c.Team.ID)
+	err := h.deps.Completer.Complete(ctx, c, deliver)
+	if err == nil {
+		series.Request(meter.Completion, qm.Done, "", time.Since(start))
+		return nil
+	}
+	e := qm.AsError(err)
+	if ctx.Err() == context.DeadlineExceeded && e.Code == qm.CodeInternal {
+		e = qm.Fail(qm.CodeTimeout, "complete", "", err)
+		e.Message = "The answer was not complete before the deadline; ask for fewer tokens or try again."
+	}
+	series.Request(meter.Completion, e.Outcome, e.Code, time.Since(start))
+	h.deps.Log.Info("completion failed", logs.RequestID, c.Request, logs.Team, c.Team.ID, logs.Step, e.Step,
+		logs.Peer, e.Peer, logs.Outcome, e.Outcome, logs.Code, e.Code, "Cause", e.Error())
+	return e
+}
+
+func (h *Handler) answerWhole(run *completionRun, c *Completion) (caller.CreateChatCompletionRes, error) {
+	var text strings.Builder
+	var last qm.Chunk
+	for chunk := range run.Chunks {
+		text.WriteString(chunk.Text)
+		last = chunk
+	}
+	if err := run.Err(); err != nil {
+		return nil, err
+	}
+	res := &caller.ChatCompletionHeaders{
+		XRequestID: caller.NewOptString(string(c.Request)),
+		Response: caller.ChatCompletion{
+			ID: completionID(c), Object: "chat.completion", Created: time.Now().Unix(), Model: string(c.Model.ID),
+			Choices: []caller.ChatChoice{{
+				Message:      caller.ChatChoiceMessage{Role: "assistant", Content: text.String()},
+				FinishReason: last.Finish,
+			}},
+		},
+	}
+	if u := last.Usage; u != nil {
+		res.Response.Usage = caller.Usage{
+			PromptTokens: int64(u.Prompt), CompletionTokens: int64(u.Output), TotalTokens: int64(u.Prompt + u.Output),
+			CachedTokens: caller.NewOptInt64(int64(u.Cached)),
+		}
+	}
+	return res, nil
+}
+
+func completionID(c *Completion) string { return "chatcmpl-" + string(c.Request) }
+
+// answerStream waits for the first chunk, so that a refusal still gets its own status, but not longer than a heartbeat, so
+// that the caller sees that the request is alive.
+func (h *Handler) answerStream(run *completionRun, c *Completion) (caller.CreateChatCompletionRes, error) {
+	s := newEvents(h, run, c)
+	first := time.NewTimer(h.opts.Heartbeat)
+	defer first.Stop()
+	select {
+	case chunk, ok := <-run.Chunks:
+		if !ok {
+			err := run.Err()
+			run.Close()
+			if err != nil {
+				return nil, err
+			}
+			return nil, qm.Fail(qm.CodeEndpoint, "complete", "", errEmptyAnswer)
+		}
+		s.add(chunk)
+	case <-first.C:
+		s.addHeartbeat()
+	}
+	return &caller.CreateChatCompletionOKTextEventStreamHeaders{
+		XRequestID: caller.NewOptString(string(c.Request)),
+		Response:   caller.CreateChatCompletionOKTextEventStream{Data: s},
+	}, nil
+}
--- /dev/null
+++ b/internal/entry/front/errors.go
@@ -0,0 +1,120 @@
+package front
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/jx"
+	"github.com/ogen-go/ogen/ogenerrors"
+	"github.com/ogen-go/ogen/validate"
+	"github.com/pkg/errors"
+
+	qm "quetzalmount.dev/quetzalmount"
+	"quetzalmount.dev/quetzalmount/internal/wire/caller"
+)
+
+// errorTypes are the error types that clients of the completions protocol know.
+var errorTypes = map[int]string{
+	http.StatusBadRequest:            "invalid_request_error",
+	http.StatusUnauthorized:          "authentication_error",
+	http.StatusNotFound:              "invalid_request_error",
+	http.StatusConflict:              "invalid_request_error",
+	http.StatusRequestEntityTooLarge: "invalid_request_error",
+	http.StatusTooManyRequests:       "rate_limit_error",
+}
+
+// NewError makes the body of an error that a handler or the security check returned.
+func (h *Handler) NewError(ctx context.Context, err error) *caller.ErrorStatusCodeWithHeaders {
+	e := classify(err)
+	out := &caller.ErrorStatusCodeWithHeaders{StatusCode: e.Status(), Response: caller.ErrorBody{Error: detail(ctx, e)}}
+	if e.RetryAfter > 0 {
+		out.RetryAfter = caller.NewOptInt(int((e.RetryAfter + time.Second - 1) / time.Second))
+	}
+	return out
+}
+
+func detail(ctx context.Context, e *qm.Error) caller.ErrorDetail {
+	kind, ok := errorTypes[e.Status()]
+	if !ok {
+		kind = "server_error"
+	}
+	d := caller.ErrorDetail{
+		Message: e.Message, Type: kind, Code: string(e.Code), Outcome: caller.Outcome(e.Outcome),
+		RequestId: caller.NewOptString(string(requestID(ctx))),
+	}
+	if e.Operation != "" {
+		d.Operation = caller.NewOptString(string(e.Operation))
+	}
+	return d
+}
+
+// classify turns the errors of the generated code into errors of the root package.
+func classify(err error) *qm.Error {
+	var (
+		own      *qm.Error
+		tooLarge *http.MaxBytesError
+		security *ogenerrors.SecurityError
+		decode   *ogenerrors.DecodeRequestError
+		params   *ogenerrors.DecodeParamsError
+		media    *validate.InvalidContentTypeError
+	)
+	switch {
+	case errors.As(err, &own):
+		return own
+	case errors.As(err, &security):
+		return errWrongKey()
+	case errors.As(err, &tooLarge):
+		return qm.Refuse(qm.CodeTooLarge, "read body",
+			"The request is larger than %d bytes; send a shorter one.", tooLarge.Limit)
+	case errors.As(err, &media):
+		return qm.Refuse(qm.CodeBadRequest, "read body", "The body must be JSON; send \"Content-Type: application/json\".")
+	case errors.As(err, &decode), errors.As(err, &params):
+		return qm.Refuse(qm.CodeBadRequest, "read request", "The request is not valid: %s.", innermost(err))
+	}
+	return qm.AsError(err)
+}
+
+// innermost returns the message of the last error of a chain, which names the field.
+func innermost(err error) string {
+	const maxMessage = 300 // bytes; a message may quote the caller's text
+	msg := err.Error()
+	var body *ogenerrors.DecodeBodyError
+	if errors.As(err, &body) {
+		msg = body.Err.Error()
+	}
+	if len(msg) > maxMessage {
+		msg = msg[:maxMessage]
+	}
+	return msg
+}
+
+// serveError writes an error that arose outside a handler, such as a body that cannot be decoded.
+func (h *Handler) serveError(ctx context.Context, w http.ResponseWriter, _ *http.Request, err error) {
+	h.write(ctx, w, h.NewError(ctx, err))
+}
+
+func (h *Handler) serveNotFound(w http.ResponseWriter, r *http.Request) {
+	h.write(r.Context(), w, h.NewError(r.Context(), qm.Refuse(qm.CodeNotFound, "route", "There is no such path.")))
+}
+
+func (h *Handler) serveMethodNotAllowed(w http.ResponseWriter, r *http.Request, allowed string) {
+	w.Header().Set("Allow", allowed)
+	res := h.NewError(r.Context(), qm.Refuse(qm.CodeBadRequest, "route", "This path takes only %s.", allowed))
+	res.StatusCode = http.StatusMethodNotAllowed
+	h.write(r.Context(), w, res)
+}
+
+func (h *Handler) write(ctx context.Context, w http.ResponseWriter, res *caller.ErrorStatusCodeWithHeaders) {
+	if v, ok := res.RetryAfter.Get(); ok {
+		w.Header().Set("Retry-After", strconv.Itoa(v))
+	}
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(res.StatusCode)
+	var e jx.Encoder
+	res.Response.Encode(&e)
+	if _, err := e.WriteTo(w); err != nil {
+		h.deps.Log.V(1).Info("caller left before the error was written", "RequestID", requestID(ctx), "Cause", err.Error())
+	}
+}
--- /dev/null
+++ b/internal/entry/front/front.go
@@ -0,0 +1,100 @@
+// Package front serves callers: completions, plain service calls, the list of models, the address advice, health and
+// readiness.
+//
+// It turns HTTP requests into the types of the root package and back. Every error that leaves it says whether the request was
+// run, what the caller can do, and when to retry. Work is refused as early as it can be: unknown keys before the body is read,
+// oversized bodies while they are read, and unknown models before any limit is touched.
+package front
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	qm "quetzalmount.dev/quetzalmount"
+	"quetzalmount.dev/quetzalmount/internal/infra/meter"
+	"quetzalmount.dev/quetzalmount/internal/state/board"
+	"quetzalmount.dev/quetzalmount/internal/wire/caller"
+)
+
+// Completion is a validated completion request.
+type Completion struct {
+	Request  qm.RequestID
+	Team     *qm.Team
+	Model    *qm.Model
+	Messages []qm.Message
+	// PromptBytes is the length of all message texts.
+	PromptBytes int
+	MaxTokens   qm.Tokens
+}
+
+// Completer runs completions.
+type Completer interface {
+	// Complete delivers the chunks of the answer in order and without gaps. It returns an *Error if the answer is not whole. An
+	// error of deliver ends the request.
+	Complete(ctx context.Context, c *Completion, deliver func(qm.Chunk) error) error
+}
+
+// Advisor returns the routers that a team should use, best first.
+type Advisor func(team qm.TeamID, dc qm.DataCentre) []qm.Member
+
+// Options configure the handlers.
+type Options struct {
+	Instance            qm.InstanceID
+	DataCentre          qm.DataCentre
+	Version             string
+	MaxBodyBytes        int64
+	DefaultOutputTokens qm.Tokens
+	// Request is the deadline of a request that names none, Heartbeat the time between comments of a waiting stream, and
+	// WriteStall the time after which a caller that takes no data is disconnected.
+	Request, Heartbeat, WriteStall time.Duration
+	AdviceValidity                 time.Duration
+}
+
+// Deps are the parts that the handlers use.
+type Deps struct {
+	Board     *board.Board
+	Completer Completer
+	Claims    qm.Claims
+	// Repeat runs calls that may be repeated.
+	Repeat func(ctx context.Context, c *qm.Call) (qm.Result, error)
+	Advise Advisor
+	Meter  *meter.Meter
+	Log    logr.Logger
+}
+
+// Handler implements the generated interface of callers.
+type Handler struct {
+	opts Options
+	deps Deps
+}
+
+var (
+	_ caller.Handler         = (*Handler)(nil)
+	_ caller.SecurityHandler = (*Handler)(nil)
+)
+
+// New returns the HTTP handler for callers.
+func New(opts Options, deps Deps) (http.Handler, error) {
+	h := &Handler{opts: opts, deps: deps}
+	server, err := caller.NewServer(h, h,
+		caller.WithErrorHandler(h.serveError),
+		caller.WithNotFound(h.serveNotFound),
+		caller.WithMethodNotAllowed(h.serveMethodNotAllowed))
+	if err != nil {
+		return nil, err
+	}
+	return h.wrap(server), nil
+}
+
+// config returns the table in force, or a refusal while there is none.
+func (h *Handler) config() (*qm.Config, error) {
+	c, ok := h.deps.Board.Table.Load()
+	if !ok {
+		return nil, qm.Refuse(qm.CodeNoTable, "configure",
+			"This instance has no configuration yet; nothing was run, try again or use another address.").After(time.Second)
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/entry/front/front_test.go
@@ -0,0 +1,350 @@
+package front_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"flag"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/google/go-cmp/cmp"
+	"github.com/pkg/errors"
+
+	qm "quetzalmount.dev/quetzalmount"
+	"quetzalmount.dev/quetzalmount/internal/entry/front"
+	"quetzalmount.dev/quetzalmount/internal/infra/meter"
+	"quetzalmount.dev/quetzalmount/internal/state/board"
+)
+
+var update = flag.Bool("update", false, "rewrite golden files")
+
+const key = "team-a-key"
+
+type completer func(ctx context.Context, c *front.Completion, deliver func(qm.Chunk) error) error
+
+func (f completer) Complete(ctx context.Context, c *front.Completion, deliver func(qm.Chunk) error) error {
+	return f(ctx, c, deliver)
+}
+
+// words answers with three chunks.
+func words(_ context.Context, _ *front.Completion, deliver func(qm.Chunk) error) error {
+	for i, text := range []string{"one ", "two ", "three"} {
+		chunk := qm.Chunk{Number: int64(i), Text: text}
+		if i == 2 {
+			chunk.Finish, chunk.Usage = "stop", &qm.Usage{Prompt: 9, Output: 3, Cached: 4}
+		}
+		if err := deliver(chunk); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+type claims struct{ runs int }
+
+func (c *claims) Run(_ context.Context, call *qm.Call) (qm.Result, error) {
+	c.runs++
+	return qm.Result{Operation: "op-1", Outcome: qm.Done, Status: 200, Answer: call.Body}, nil
+}
+
+func (c *claims) Lookup(_ context.Context, _ qm.TeamID, _ *qm.Service, op qm.OperationID) (qm.Result, error) {
+	return qm.Result{Operation: op, Outcome: qm.Unknown}, nil
+}
+
+func options() front.Options {
+	return front.Options{
+		Instance: "entry-1", DataCentre: "dub-a", MaxBodyBytes: 4096, DefaultOutputTokens: 16, Request: 5 * time.Second,
+		Heartbeat: 2 * time.Second, WriteStall: time.Second, AdviceValidity: 10 * time.Second,
+	}
+}
+
+func config() *qm.Config {
+	hash := qm.KeyHash(sha256.Sum256([]byte(key)))
+	return &qm.Config{
+		Offset:   7,
+		Teams:    map[qm.TeamID]*qm.Team{"a": {ID: "a", Key: hash, Weight: 1, Limits: qm.Limits{MaxPromptTokens: 100}}},
+		Keys:     map[qm.KeyHash]qm.TeamID{hash: "a"},
+		Models:   map[qm.ModelID]*qm.Model{"m": {ID: "m", Group: "g", Version: "v1"}},
+		Services: map[qm.ServiceID]*qm.Service{"tally": {ID: "tally", Repeatable: []string{"status"}}},
+	}
+}
+
+func serve(t *testing.T, c completer, opts front.Options) (*httptest.Server, *board.Board, *claims) {
+	t.Helper()
+	b, cl := board.New(), &claims{}
+	b.Table.Store(config())
+	m := meter.New("entry-1", 10)
+	h, err := front.New(opts, front.Deps{
+		Board: b, Completer: c, Claims: cl, Meter: m, Log: logr.Discard(),
+		Repeat: func(_ context.Context, call *qm.Call) (qm.Result, error) {
+			return qm.Result{Operation: "r", Outcome: qm.Done, Status: 200, Answer: call.Body}, nil
+		},
+		Advise: func(qm.TeamID, qm.DataCentre) []qm.Member {
+			return []qm.Member{{Instance: "entry-2", Address: "127.0.0.1:2", DataCentre: "dub-a"}}
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := httptest.NewServer(h)
+	t.Cleanup(func() {
+		s.Close()
+		_ = m.Close()
+	})
+	return s, b, cl
+}
+
+func do(t *testing.T, s *httptest.Server, method, path, body string, header ...string) (int, http.Header, string) {
+	t.Helper()
+	req, err := http.NewRequest(method, s.URL+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	req.Header.Set("Content-Type", "application/json")
+	for i := 0; i < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	res, err := s.Client().Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	out, err := io.ReadAll(res.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if res.Close {
+		// The client takes the header out when it reads the answer.
+		res.Header.Set("Connection", "close")
+	}
+	return res.StatusCode, res.Header, string(out)
+}
+
+// unstable matches the parts of an answer that differ from run to run.
+var unstable = regexp.MustCompile(`[0-9a-f]{8}-[0-9a-f-]{27}|"created":\d+`)
+
+func golden(t *testing.T, name, got string) {
+	t.Helper()
+	got = unstable.ReplaceAllString(got, "X")
+	file := filepath.Join("testdata", name)
+	if *update {
+		if err := os.WriteFile(file, []byte(got), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(string(want), got); diff != "" {
+		t.Errorf("%s differs (-want +got):\n%s", name, diff)
+	}
+}
+
+const chat = `{"model":"m","messages":[{"role":"system","content":"rules"},
+	{"role":"user","content":[{"type":"text","text":"what is this line?"}]}],"temperature":0.5`
+
+// TestCompletion guards against answers that clients of the completions protocol cannot read.
+func TestCompletion(t *testing.T) {
+	s, _, _ := serve(t, words, options())
+	status, _, body := do(t, s, "POST", "/v1/chat/completions", chat+"}")
+	if status != 200 {
+		t.Fatalf("status = %d, body %s", status, body)
+	}
+	golden(t, "whole.json", body)
+	status, header, body := do(t, s, "POST", "/v1/chat/completions", chat+`,"stream":true}`)
+	if status != 200 || header.Get("Content-Type") != "text/event-stream" {
+		t.Fatalf("status = %d, header %v, body %s", status, header, body)
+	}
+	golden(t, "stream.txt", body)
+}
+
+// TestBrokenStream guards against a short answer that looks whole: an error after the first chunk must end the stream with
+// an error event, and one before it must have a status of its own.
+func TestBrokenStream(t *testing.T) {
+	fail := qm.Fail(qm.CodeEndpoint, "read stream", "scribe-1", errors.New("engine died"))
+	s, _, _ := serve(t, func(_ context.Context, _ *front.Completion, deliver func(qm.Chunk) error) error {
+		if err := deliver(qm.Chunk{Text: "one "}); err != nil {
+			return err
+		}
+		return fail
+	}, options())
+	_, _, body := do(t, s, "POST", "/v1/chat/completions", chat+`,"stream":true}`)
+	golden(t, "broken.txt", body)
+
+	s, _, _ = serve(t, func(context.Context, *front.Completion, func(qm.Chunk) error) error {
+		return qm.Refuse(qm.CodeRateLimit, "admit", "Too many requests; wait.").After(1500 * time.Millisecond)
+	}, options())
+	status, header, body := do(t, s, "POST", "/v1/chat/completions", chat+`,"stream":true}`)
+	if status != 429 || header.Get("Retry-After") != "2" || !strings.Contains(body, `"Outcome":"NotRun"`) {
+		t.Errorf("status = %d, Retry-After = %q, body %s", status, header.Get("Retry-After"), body)
+	}
+}
+
+// TestHeartbeat guards against callers that give up on a stream whose first token takes long.
+func TestHeartbeat(t *testing.T) {
+	opts := options()
+	opts.Heartbeat = 10 * time.Millisecond
+	release := make(chan struct{})
+	s, _, _ := serve(t, func(ctx context.Context, c *front.Completion, deliver func(qm.Chunk) error) error {
+		<-release
+		return words(ctx, c, deliver)
+	}, opts)
+	req, _ := http.NewRequest("POST", s.URL+"/v1/chat/completions", strings.NewReader(chat+`,"stream":true}`))
+	req.Header.Set("Authorization", "Bearer "+key)
+	req.Header.Set("Content-Type", "application/json")
+	res, err := s.Client().Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	first := make([]byte, len(": waiting\n\n"))
+	if _, err := io.ReadFull(res.Body, first); err != nil || string(first) != ": waiting\n\n" {
+		t.Fatalf("first event = %q, %v", first, err)
+	}
+	close(release)
+	rest, err := io.ReadAll(res.Body)
+	if err != nil || !bytes.HasSuffix(rest, []byte("data: [DONE]\n\n")) {
+		t.Errorf("rest = %q, %v", rest, err)
+	}
+}
+
+// TestCallerLeaves guards against completions that go on at the engine after their caller has left.
+func TestCallerLeaves(t *testing.T) {
+	ended := make(chan struct{})
+	s, _, _ := serve(t, func(ctx context.Context, _ *front.Completion, deliver func(qm.Chunk) error) error {
+		defer close(ended)
+		if err := deliver(qm.Chunk{Text: "one "}); err != nil {
+			return err
+		}
+		<-ctx.Done()
+		return ctx.Err()
+	}, options())
+	ctx, cancel := context.WithCancel(context.Background())
+	req, _ := http.NewRequestWithContext(ctx, "POST", s.URL+"/v1/chat/completions", strings.NewReader(chat+`,"stream":true}`))
+	req.Header.Set("Authorization", "Bearer "+key)
+	req.Header.Set("Content-Type", "application/json")
+	res, err := s.Client().Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	cancel()
+	<-ended // the test hangs here if the completion goes on
+}
+
+// TestBadInput guards against input that crashes the handler, gets an unclear answer, or is taken for run.
+func TestBadInput(t *testing.T) {
+	s, _, _ := serve(t, words, options())
+	long := strings.Repeat("x", 500)
+	tests := []struct {
+		name, method, path, body string
+		header                   []string
+		status                   int
+		contains                 string
+	}{
+		{"not JSON", "POST", "/v1/chat/completions", "{", nil, 400, "BadRequest"},
+		{"empty body", "POST", "/v1/chat/completions", "", nil, 400, "BadRequest"},
+		{"no messages", "POST", "/v1/chat/completions", `{"model":"m","messages":[]}`, nil, 400, "messages"},
+		{"trailing data", "POST", "/v1/chat/completions", chat + "}}", nil, 400, "BadRequest"},
+		{"not UTF-8", "POST", "/v1/chat/completions", `{"model":"m","messages":[{"role":"user","content":"` + "\xff" + `"}]}`, nil, 400, "UTF-8"},
+		{"image part", "POST", "/v1/chat/completions", `{"model":"m","messages":[{"role":"user","content":[{"type":"image_url"}]}]}`, nil, 400, "image_url"},
+		{"oversized", "POST", "/v1/chat/completions", `{"model":"` + strings.Repeat("x", 5000) + `"}`, nil, 413, "4096 bytes"},
+		{"long prompt", "POST", "/v1/chat/completions", `{"model":"m","messages":[{"role":"user","content":"` + long + `"}]}`, nil, 413, "your team may send 100"},
+		{"unknown model", "POST", "/v1/chat/completions", `{"model":"z","messages":[{"role":"user","content":"x"}]}`, nil, 404, "GET /v1/models"},
+		{"media type", "POST", "/v1/chat/completions", chat + "}", []string{"Content-Type", "text/plain"}, 400, "application/json"},
+		{"wrong key", "POST", "/v1/chat/completions", chat + "}", []string{"Authorization", "Bearer nobody"}, 401, "Unauthorized"},
+		{"no key", "GET", "/v1/models", "", []string{"Authorization", ""}, 401, "Unauthorized"},
+		{"unknown path", "GET", "/v2/models", "", nil, 404, "no such path"},
+		{"wrong method", "GET", "/v1/chat/completions", "", nil, 405, "only POST"},
+		{"unknown service", "POST", "/v1/services/none/calls/post", "{}", nil, 404, "no service"},
+		{"empty key", "POST", "/v1/services/tally/calls/post", "{}", []string{"Idempotency-Key", ""}, 400, "Idempotency-Key"},
+		{"long key", "POST", "/v1/services/tally/calls/post", "{}", []string{"Idempotency-Key", long}, 400, "Idempotency-Key"},
+		{"bad timeout", "POST", "/v1/services/tally/calls/post", "{}", []string{"X-Timeout-Ms", "soon"}, 400, "X-Timeout-Ms"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			status, _, body := do(t, s, tt.method, tt.path, tt.body, tt.header...)
+			if status != tt.status || !strings.Contains(body, tt.contains) || !strings.Contains(body, `"Outcome":"NotRun"`) {
+				t.Errorf("status = %d, body %s; want %d, %q and NotRun", status, body, tt.status, tt.contains)
+			}
+		})
+	}
+}
+
+// TestCalls guards against a call that must not be repeated taking the path of those that may.
+func TestCalls(t *testing.T) {
+	s, _, cl := serve(t, words, options())
+	for path, runs := range map[string]int{"status": 0, "post": 1} {
+		cl.runs = 0
+		status, _, body := do(t, s, "POST", "/v1/services/tally/calls/"+path, `{"Amount":5}`, "Idempotency-Key", "k")
+		var op struct{ Outcome, Operation string }
+		if err := json.Unmarshal([]byte(body), &op); err != nil || status != 200 || op.Outcome != "Done" || cl.runs != runs {
+			t.Errorf("%s: status = %d, body %s, %d claims, want %d", path, status, body, cl.runs, runs)
+		}
+	}
+	status, _, body := do(t, s, "GET", "/v1/services/tally/operations/op-9", "")
+	if status != 200 || !strings.Contains(body, `"Unknown"`) {
+		t.Errorf("lookup: status = %d, body %s", status, body)
+	}
+}
+
+// TestStates guards against an instance that takes traffic without a table, or that keeps callers while it stops.
+func TestStates(t *testing.T) {
+	s, b, _ := serve(t, words, options())
+	if status, _, body := do(t, s, "GET", "/readyz", ""); status != 200 || !strings.Contains(body, "Serving") {
+		t.Errorf("serving: status = %d, body %s", status, body)
+	}
+	b.Leaving.Store(true)
+	status, header, body := do(t, s, "GET", "/readyz", "")
+	if status != 503 || !strings.Contains(body, "Leaving") || header.Get("Connection") != "close" {
+		t.Errorf("leaving: status = %d, header %v, body %s", status, header, body)
+	}
+	h, err := front.New(options(), front.Deps{Board: board.New(), Log: logr.Discard()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := httptest.NewRecorder()
+	req := httptest.NewRequest("GET", "/v1/models", nil)
+	req.Header.Set("Authorization", "Bearer "+key)
+	h.ServeHTTP(w, req)
+	if w.Code != 503 || w.Header().Get("Retry-After") == "" || !strings.Contains(w.Body.String(), `"NotRun"`) {
+		t.Errorf("without a table: status = %d, body %s", w.Code, w.Body)
+	}
+}
+
+// FuzzBody guards against a body that makes the handler panic or answer without an outcome.
+func FuzzBody(f *testing.F) {
+	for _, seed := range []string{chat + "}", "{", `{"model":"m","messages":[{"role":"user","content":null}]}`, "\xff\xfe"} {
+		f.Add([]byte(seed))
+	}
+	b := board.New()
+	b.Table.Store(config())
+	h, err := front.New(options(), front.Deps{
+		Board: b, Completer: completer(words), Claims: &claims{}, Meter: meter.New("entry-1", 1), Log: logr.Discard(),
+	})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		req := httptest.NewRequest("POST", "/v1/chat/completions", bytes.NewReader(body))
+		req.Header.Set("Authorization", "Bearer "+key)
+		req.Header.Set("Content-Type", "application/json")
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, req)
+		if w.Code != 200 && !strings.Contains(w.Body.String(), `"Outcome":"NotRun"`) {
+			t.Errorf("status = %d, body %s", w.Code, w.Body)
+		}
+	})
+}
