Add the operators' handlers

Cause: operators need to see the table in force and the state of instances, endpoints and teams. The listener and the key are apart from those of callers; metrics and profiles ask for the key too. Ruled out: edits through this interface, since the log service is where they are decided.

--- /dev/null
+++ b/internal/entry/opsapi/opsapi.go
@@ -0,0 +1,182 @@
+// Package opsapi serves operators: the table in force, the state of instances, endpoints and teams, and the metrics.
+//
+// It has a listener and a key of its own, apart from those of callers. It only reads; edits of the table go to the log
+// service.
+package opsapi
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"net/http"
+	"net/http/pprof"
+
+	"github.com/ogen-go/ogen/ogenerrors"
+	"github.com/pkg/errors"
+
+	qm "quetzalmount.dev/quetzalmount"
+	"quetzalmount.dev/quetzalmount/internal/state/board"
+	"quetzalmount.dev/quetzalmount/internal/wire/admin"
+)
+
+// Row is one row of the table.
+type Row struct {
+	Kind, Name string
+	Version    qm.Offset
+	Cells      map[string]string
+}
+
+// TeamLoad is the work of one team on this instance.
+type TeamLoad struct {
+	Team             qm.TeamID
+	InFlight, Queued int
+}
+
+// Deps are the parts that the handlers read from.
+type Deps struct {
+	Board    *board.Board
+	Instance qm.InstanceID
+	Version  string
+	KeyHash  string // SHA-256 of the operators' key, in hex
+	// Rows returns the rows of the table in force, ordered by kind and name.
+	Rows func() []Row
+	// Teams returns the teams that have work on this instance.
+	Teams func() []TeamLoad
+	// Desired returns the version that an engine should have, empty if none is set.
+	Desired func(qm.EndpointID) qm.VersionID
+	Metrics http.Handler
+}
+
+// Handler implements the generated interface of operators.
+type Handler struct{ deps Deps }
+
+var (
+	_ admin.Handler         = (*Handler)(nil)
+	_ admin.SecurityHandler = (*Handler)(nil)
+)
+
+// errKey is returned for a missing or wrong key.
+var errKey = errors.New("the operators' key is missing or wrong")
+
+// New returns the HTTP handler for operators.
+func New(deps Deps) (http.Handler, error) {
+	h := &Handler{deps: deps}
+	server, err := admin.NewServer(h, h)
+	if err != nil {
+		return nil, errors.WithMessage(err, "make operators' interface")
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/", server)
+	mux.Handle("GET /metrics", h.guard(deps.Metrics.ServeHTTP))
+	mux.Handle("GET /debug/pprof/profile", h.guard(pprof.Profile))
+	mux.Handle("GET /debug/pprof/", h.guard(pprof.Index))
+	return mux, nil
+}
+
+// guard asks for the operators' key on paths that the generated code does not serve.
+func (h *Handler) guard(next http.HandlerFunc) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		const prefix = "Bearer "
+		auth := r.Header.Get("Authorization")
+		if len(auth) < len(prefix) || !h.isKey(auth[len(prefix):]) {
+			http.Error(w, errKey.Error(), http.StatusUnauthorized)
+			return
+		}
+		next(w, r)
+	})
+}
+
+func (h *Handler) isKey(key string) bool {
+	sum := sha256.Sum256([]byte(key))
+	return subtle.ConstantTimeCompare([]byte(hex.EncodeToString(sum[:])), []byte(h.deps.KeyHash)) == 1
+}
+
+// HandleOperatorKey checks the operators' key.
+func (h *Handler) HandleOperatorKey(
+	ctx context.Context, _ admin.OperationName, key admin.OperatorKey,
+) (context.Context, error) {
+	if !h.isKey(key.Token) {
+		return ctx, errKey
+	}
+	return ctx, nil
+}
+
+// NewError makes the body of an error.
+func (h *Handler) NewError(_ context.Context, err error) *admin.ErrorStatusCode {
+	status := http.StatusInternalServerError
+	var security *ogenerrors.SecurityError
+	var own *qm.Error
+	switch {
+	case errors.As(err, &security):
+		status, err = http.StatusUnauthorized, errKey
+	case errors.As(err, &own):
+		status = own.Status()
+	}
+	return &admin.ErrorStatusCode{StatusCode: status, Response: admin.Error{Message: err.Error()}}
+}
+
+// GetTable returns the table in force.
+func (h *Handler) GetTable(context.Context) (*admin.Table, error) {
+	c, ok := h.deps.Board.Table.Load()
+	if !ok {
+		return nil, qm.Refuse(qm.CodeNoTable, "read table", "This instance has no table yet.")
+	}
+	t := &admin.Table{Offset: int64(c.Offset), Rows: []admin.Row{}}
+	for _, r := range h.deps.Rows() {
+		t.Rows = append(t.Rows, admin.Row{Kind: r.Kind, Name: r.Name, Version: int64(r.Version), Cells: r.Cells})
+	}
+	return t, nil
+}
+
+// GetStatus returns what this instance knows of the instances, endpoints and teams.
+func (h *Handler) GetStatus(context.Context) (*admin.Status, error) {
+	s := &admin.Status{
+		Instance: string(h.deps.Instance), State: "Waiting", Version: admin.NewOptString(h.deps.Version),
+		Instances: []admin.InstanceStatus{}, Endpoints: []admin.EndpointStatus{}, Teams: []admin.TeamStatus{},
+	}
+	if c, ok := h.deps.Board.Table.Load(); ok {
+		s.State, s.TableOffset = "Serving", int64(c.Offset)
+	}
+	if h.deps.Board.IsLeaving() {
+		s.State = string(qm.Leaving)
+	}
+	members, _ := h.deps.Board.Members.Load()
+	for _, m := range members {
+		s.Instances = append(s.Instances, h.instance(m, s.TableOffset))
+	}
+	endpoints, _ := h.deps.Board.Endpoints.Load()
+	for _, e := range endpoints {
+		s.Endpoints = append(s.Endpoints, h.endpoint(e))
+	}
+	for _, t := range h.deps.Teams() {
+		s.Teams = append(s.Teams, admin.TeamStatus{Team: string(t.Team), InFlight: t.InFlight, Queued: t.Queued})
+	}
+	return s, nil
+}
+
+func (h *Handler) instance(m qm.Member, own int64) admin.InstanceStatus {
+	offset := int64(m.TableOffset)
+	if m.Self {
+		offset = own
+	}
+	return admin.InstanceStatus{
+		Instance: string(m.Instance), Address: m.Address, DataCentre: string(m.DataCentre), State: string(m.State),
+		TableOffset: offset,
+	}
+}
+
+func (h *Handler) endpoint(e *qm.Endpoint) admin.EndpointStatus {
+	s := admin.EndpointStatus{
+		Endpoint: string(e.ID), Kind: string(e.Kind), Group: string(e.Group), Address: e.Address, State: string(e.State),
+		DataCentre: admin.NewOptString(string(e.DataCentre)),
+	}
+	if e.Kind == qm.KindEngine {
+		s.Incarnation = admin.NewOptString(string(e.Incarnation))
+		s.Version = admin.NewOptString(string(e.Version))
+		s.DesiredVersion = admin.NewOptString(string(h.deps.Desired(e.ID)))
+		s.Running = admin.NewOptInt(e.Load.Running)
+		s.Waiting = admin.NewOptInt(e.Load.Waiting)
+	}
+	return s
+}
