Add the stand-ins' HTTP interfaces, their program and the clients

Cause: the other parts need engines, services, a log and an instance list that answer over loopback HTTP.

Ruled out: a single http.Transport for all calls. It sends a request with an Idempotency-Key again when a reused connection fails, so calls that may not be repeated get a connection and an unrewindable body of their own. Ruled out: a cache key made by the engine from the text, because the engine would need the router's token count to find the same boundaries. The engine uses the span keys of the request together with its salt.

--- /dev/null
+++ b/internal/client/engine/engine.go
@@ -0,0 +1,195 @@
+// Package engine is the client of model engines. It implements quetzalmount.EngineClient and reads load reports and cache
+// events, sends commands, and moves KV cache blocks.
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+
+	"github.com/pkg/errors"
+
+	qm "quetzalmount.dev/quetzalmount"
+	"quetzalmount.dev/quetzalmount/internal/client/pool"
+)
+
+// Client talks to any number of engines.
+type Client struct {
+	pool   *pool.Pool
+	pooled *http.Client
+	fresh  *http.Client
+}
+
+var _ qm.EngineClient = (*Client)(nil)
+
+// New returns a client.
+func New(opts pool.Options) *Client {
+	p := pool.New(opts)
+	return &Client{pool: p, pooled: &http.Client{Transport: p}, fresh: &http.Client{Transport: p.Fresh()}}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() error {
+	c.pool.Close()
+	return nil
+}
+
+type (
+	span struct {
+		Key qm.PrefixKey `json:"key"`
+		End qm.Tokens    `json:"end"`
+	}
+	completion struct {
+		RequestID    qm.RequestID `json:"request_id"`
+		Model        qm.ModelID   `json:"model"`
+		Version      qm.VersionID `json:"version,omitempty"`
+		Messages     []qm.Message `json:"messages"`
+		MaxTokens    qm.Tokens    `json:"max_tokens,omitempty"`
+		Stream       bool         `json:"stream"`
+		CacheSalt    string       `json:"cache_salt,omitempty"`
+		Priority     int          `json:"priority,omitempty"`
+		Blocks       []span       `json:"blocks,omitempty"`
+		ContinueFrom int64        `json:"continue_from,omitempty"`
+	}
+)
+
+func encode(r *qm.EngineRequest) ([]byte, error) {
+	in := completion{
+		RequestID: r.Request, Model: r.Model, Version: r.Version, Messages: r.Messages, MaxTokens: r.MaxTokens, Stream: true,
+		CacheSalt: r.CacheSalt, Priority: r.Priority, ContinueFrom: r.From, Blocks: make([]span, len(r.Blocks)),
+	}
+	for i, b := range r.Blocks {
+		in.Blocks[i] = span(b)
+	}
+	if r.From > 0 {
+		in.Messages = append(append([]qm.Message(nil), r.Messages...), qm.Message{Role: "assistant", Content: r.Emitted})
+	}
+	return json.Marshal(in)
+}
+
+// Start implements quetzalmount.EngineClient. The first part of the answer, if any, is sent as a last message of role
+// assistant. A refusal of the engine is an *Error with outcome NotRun; its code is QueueFull for a full queue, NoEndpoint if
+// the engine takes no requests now, and BadRequest if it refuses this one.
+func (c *Client) Start(ctx context.Context, e *qm.Endpoint, r *qm.EngineRequest) (qm.ChunkReader, error) {
+	body, err := encode(r)
+	if err != nil {
+		return nil, qm.Refuse(qm.CodeBadRequest, "start", "encode request: %v", err).At(e.Address)
+	}
+	sctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	req, err := http.NewRequestWithContext(sctx, http.MethodPost, "http://"+e.Address+"/v1/chat/completions", bytes.NewReader(body))
+	if err != nil {
+		cancel()
+		return nil, qm.Refuse(qm.CodeInternal, "start", "%v", err).At(e.Address)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	// An empty value marks the request as repeatable for net/http and is not sent: an engine that gets a request twice joins
+	// the second one to the stream of the first, so a request that fails on a reused connection may be sent again.
+	req.Header["X-Idempotency-Key"] = []string{}
+	return c.open(ctx, c.pooled, req, cancel, "start", e, r.Request)
+}
+
+// Resume implements quetzalmount.EngineClient. An engine that does not know the stream, or that is another incarnation than
+// inc, gives an *Error with code NotFound; inc may be empty if it is not known.
+func (c *Client) Resume(ctx context.Context, e *qm.Endpoint, inc qm.Incarnation, id qm.RequestID, from int64) (qm.ChunkReader, error) {
+	u := fmt.Sprintf("http://%s/v1/streams/%s?from=%d", e.Address, url.PathEscape(string(id)), from)
+	sctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	req, err := http.NewRequestWithContext(sctx, http.MethodGet, u, nil)
+	if err != nil {
+		cancel()
+		return nil, qm.Fail(qm.CodeInternal, "resume", e.Address, err)
+	}
+	r, err := c.open(ctx, c.fresh, req, cancel, "resume", e, id)
+	if err != nil {
+		return nil, err
+	}
+	if inc != "" && r.Incarnation() != inc {
+		_ = r.Close()
+		return nil, qm.Fail(qm.CodeNotFound, "resume", e.Address, errors.Errorf("engine has incarnation %s, want %s", r.Incarnation(), inc))
+	}
+	return r, nil
+}
+
+// open sends req and returns a reader once the engine has answered. ctx bounds only the wait for the answer; cancel ends the
+// stream.
+func (c *Client) open(ctx context.Context, h *http.Client, req *http.Request, cancel context.CancelFunc, step string, e *qm.Endpoint, id qm.RequestID) (qm.ChunkReader, error) {
+	trace := &pool.Trace{}
+	stop := context.AfterFunc(ctx, cancel)
+	resp, err := h.Do(req.WithContext(trace.Context(req.Context())))
+	if !stop() && err == nil {
+		_ = resp.Body.Close()
+		err = context.Cause(ctx)
+	}
+	if err != nil {
+		cancel()
+		return nil, unanswered(ctx, trace, step, e, err)
+	}
+	if got := resp.Header.Get("X-Request-Id"); got != string(id) {
+		cancel()
+		_ = resp.Body.Close()
+		trace.Drop()
+		return nil, qm.Fail(qm.CodeEndpoint, step, e.Address, errors.Wrapf(errCrossed, "answer has id %q", got))
+	}
+	if resp.StatusCode != http.StatusOK {
+		defer cancel()
+		return nil, refused(resp, step, e)
+	}
+	return &reader{
+		resp: resp, cancel: cancel, trace: trace, events: newEventReader(resp.Body), id: id,
+		inc: qm.Incarnation(resp.Header.Get("X-Incarnation")),
+	}, nil
+}
+
+// unanswered returns the error of a request that got no answer.
+func unanswered(ctx context.Context, trace *pool.Trace, step string, e *qm.Endpoint, err error) error {
+	code := qm.CodeEndpoint
+	if ctx.Err() != nil {
+		code, err = qm.CodeTimeout, context.Cause(ctx)
+	}
+	if !trace.Sent() {
+		return qm.Refuse(code, step, "%v", err).At(e.Address).Because(err)
+	}
+	return qm.Fail(code, step, e.Address, err)
+}
+
+// refused returns the error of an answer that is not a stream.
+func refused(resp *http.Response, step string, e *qm.Endpoint) error {
+	after := pool.RetryAfter(resp)
+	status := resp.StatusCode
+	b, _ := pool.ReadAll(resp)
+	var m struct{ Message string }
+	if json.Unmarshal(b, &m) != nil || m.Message == "" {
+		m.Message = resp.Status
+	}
+	switch {
+	case status == http.StatusTooManyRequests:
+		return qm.Refuse(qm.CodeQueueFull, step, "%s", m.Message).At(e.Address).After(after)
+	case status == http.StatusServiceUnavailable:
+		return qm.Refuse(qm.CodeNoEndpoint, step, "%s", m.Message).At(e.Address).After(after)
+	case status == http.StatusNotFound:
+		return qm.Refuse(qm.CodeNotFound, step, "%s", m.Message).At(e.Address)
+	case status >= 400 && status < 500:
+		return qm.Refuse(qm.CodeBadRequest, step, "%s", m.Message).At(e.Address)
+	}
+	return qm.Fail(qm.CodeEndpoint, step, e.Address, errors.Errorf("status %d: %s", status, m.Message))
+}
+
+// Cancel implements quetzalmount.EngineClient. A request that the engine does not know is no error. The connection is a
+// fresh one, because a request is often cancelled after its connection has stalled.
+func (c *Client) Cancel(ctx context.Context, e *qm.Endpoint, id qm.RequestID) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+e.Address+"/v1/streams/"+url.PathEscape(string(id)), nil)
+	if err != nil {
+		return qm.Fail(qm.CodeInternal, "cancel", e.Address, err)
+	}
+	resp, err := c.fresh.Do(req)
+	if err != nil {
+		return qm.Fail(qm.CodeEndpoint, "cancel", e.Address, err)
+	}
+	_, _ = pool.ReadAll(resp)
+	if resp.StatusCode >= 300 && resp.StatusCode != http.StatusNotFound {
+		return qm.Fail(qm.CodeEndpoint, "cancel", e.Address, errors.Errorf("status %d", resp.StatusCode))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/client/engine/engine_test.go
@@ -0,0 +1,97 @@
+package engine_test
+
+import (
+	"context"
+	"io"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	qm "quetzalmount.dev/quetzalmount"
+	"quetzalmount.dev/quetzalmount/internal/client/engine"
+	"quetzalmount.dev/quetzalmount/internal/client/pool"
+	"quetzalmount.dev/quetzalmount/internal/standin/engsrv"
+)
+
+// start runs an engine on loopback.
+func start(t *testing.T, o engsrv.Options) (*engsrv.Server, *qm.Endpoint) {
+	t.Helper()
+	if o.Model == "" {
+		o.Model = "m"
+	}
+	s := engsrv.New(o)
+	h := httptest.NewServer(s.Handler())
+	t.Cleanup(func() {
+		h.CloseClientConnections()
+		_ = s.Close()
+		h.Close()
+	})
+	return s, &qm.Endpoint{ID: "e", Address: strings.TrimPrefix(h.URL, "http://")}
+}
+
+func request(id qm.RequestID) *qm.EngineRequest {
+	return &qm.EngineRequest{Request: id, Model: "m", Messages: []qm.Message{{Role: "user", Content: "prompt of " + string(id)}}, MaxTokens: 20}
+}
+
+// read returns the text of the remaining chunks.
+func read(t *testing.T, r qm.ChunkReader) (string, error) {
+	t.Helper()
+	var text strings.Builder
+	for {
+		c, err := r.Next(context.Background())
+		if err == io.EOF {
+			return text.String(), nil
+		}
+		if err != nil {
+			return text.String(), err
+		}
+		text.WriteString(c.Text)
+	}
+}
+
+// TestStartResumeContinue guards against an answer that depends on the connection or the engine that delivers it.
+func TestStartResumeContinue(t *testing.T) {
+	_, a := start(t, engsrv.Options{DecodePerToken: time.Millisecond})
+	_, b := start(t, engsrv.Options{})
+	c := engine.New(pool.Options{})
+	defer c.Close()
+	ctx := context.Background()
+	req := request("r1")
+	want := engsrv.Text(req.Messages, req.MaxTokens)
+
+	r, err := c.Start(ctx, a, req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close()
+	var head string
+	for range 5 {
+		ch, err := r.Next(ctx)
+		if err != nil {
+			t.Fatal(err)
+		}
+		head += ch.Text
+	}
+	resumed, err := c.Resume(ctx, a, r.Incarnation(), req.Request, 5)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resumed.Close()
+	tail, err := read(t, resumed)
+	if diff := cmp.Diff(want, head+tail); diff != "" || err != nil {
+		t.Errorf("resumed stream: %v, (-want +got):\n%s", err, diff)
+	}
+	req.Emitted, req.From = head, 5
+	continued, err := c.Start(ctx, b, req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer continued.Close()
+	tail, err = read(t, continued)
+	if diff := cmp.Diff(want, head+tail); diff != "" || err != nil {
+		t.Errorf("continued stream: %v, (-want +got):\n%s", err, diff)
+	}
+}
--- /dev/null
+++ b/internal/client/logsvc/batch.go
@@ -0,0 +1,44 @@
+package logsvc
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	qm "quetzalmount.dev/quetzalmount"
+)
+
+type (
+	wireRecord struct {
+		Offset qm.Offset
+		Data   []byte
+		Time   int64 // milliseconds since 1970
+	}
+	wireBatch struct {
+		First, Next qm.Offset
+		Records     []wireRecord
+	}
+)
+
+// decodeBatch decodes the answer to a read. The offsets must follow each other without a gap from the later of from and
+// First on, because every fold depends on seeing each record once.
+func decodeBatch(data []byte, from qm.Offset) (qm.Batch, error) {
+	var w wireBatch
+	if err := json.Unmarshal(data, &w); err != nil {
+		return qm.Batch{}, errors.Wrap(err, "decode batch")
+	}
+	if w.First < 1 || w.Next < w.First {
+		return qm.Batch{}, errors.Errorf("batch keeps offsets from %d to before %d", w.First, w.Next)
+	}
+	b := qm.Batch{First: w.First, Next: w.Next}
+	want := max(from, w.First)
+	for _, r := range w.Records {
+		if r.Offset != want || r.Offset >= w.Next {
+			return qm.Batch{}, errors.Errorf("record has offset %d, want %d below %d", r.Offset, want, w.Next)
+		}
+		want++
+		b.Records = append(b.Records, qm.Record{Offset: r.Offset, Time: time.UnixMilli(r.Time), Data: r.Data})
+	}
+	return b, nil
+}
--- /dev/null
+++ b/internal/client/logsvc/logsvc.go
@@ -0,0 +1,121 @@
+// Package logsvc is the client of the platform's log service. It implements quetzalmount.Log.
+package logsvc
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/pkg/errors"
+
+	qm "quetzalmount.dev/quetzalmount"
+	"quetzalmount.dev/quetzalmount/internal/client/pool"
+)
+
+// Client talks to one log service.
+type Client struct {
+	addr string
+	pool *pool.Pool
+	http *http.Client
+}
+
+var _ qm.Log = (*Client)(nil)
+
+// New returns a client of the log service at addr, host:port.
+func New(addr string, opts pool.Options) *Client {
+	p := pool.New(opts)
+	return &Client{addr: addr, pool: p, http: &http.Client{Transport: p}}
+}
+
+type (
+	newRecord     struct{ Data []byte }
+	appendRequest struct{ Records []newRecord }
+	appendAnswer  struct{ First, Last qm.Offset }
+)
+
+func (c *Client) url(stream qm.StreamID) string {
+	return "http://" + c.addr + "/v1/streams/" + url.PathEscape(string(stream)) + "/records"
+}
+
+// Append implements quetzalmount.Log. The error wraps quetzalmount.ErrNotAppended if no byte of the request was sent or if
+// the service refused it.
+func (c *Client) Append(ctx context.Context, stream qm.StreamID, records [][]byte) (qm.Offset, error) {
+	in := appendRequest{Records: make([]newRecord, len(records))}
+	for i, r := range records {
+		in.Records[i].Data = r
+	}
+	body, err := json.Marshal(in)
+	if err != nil {
+		return 0, c.notAppended(stream, err.Error())
+	}
+	var trace pool.Trace
+	// The body is a plain reader, so that net/http cannot rewind it and send the append again on another connection.
+	req, err := http.NewRequestWithContext(trace.Context(ctx), http.MethodPost, c.url(stream), io.NopCloser(bytes.NewReader(body)))
+	if err != nil {
+		return 0, c.notAppended(stream, err.Error())
+	}
+	req.ContentLength = int64(len(body))
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.http.Do(req)
+	if err != nil {
+		if !trace.Sent() {
+			return 0, c.notAppended(stream, err.Error())
+		}
+		return 0, errors.Wrapf(err, "append to %s at %s", stream, c.addr)
+	}
+	return c.appended(stream, resp, len(records))
+}
+
+func (c *Client) appended(stream qm.StreamID, resp *http.Response, n int) (qm.Offset, error) {
+	switch resp.StatusCode {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusBadRequest, http.StatusNotFound:
+		status := resp.StatusCode
+		_, _ = pool.ReadAll(resp)
+		return 0, c.notAppended(stream, fmt.Sprintf("status %d", status))
+	}
+	a, err := pool.Decode[appendAnswer](resp)
+	if err != nil {
+		return 0, errors.Wrapf(err, "append to %s at %s", stream, c.addr)
+	}
+	if a.First < 1 || a.Last != a.First+qm.Offset(n)-1 {
+		return 0, errors.Errorf("append to %s at %s: offsets %d to %d for %d records", stream, c.addr, a.First, a.Last, n)
+	}
+	return a.First, nil
+}
+
+func (c *Client) notAppended(stream qm.StreamID, why string) error {
+	return errors.Wrapf(qm.ErrNotAppended, "append to %s at %s: %s", stream, c.addr, why)
+}
+
+// Read implements quetzalmount.Log.
+func (c *Client) Read(ctx context.Context, stream qm.StreamID, from qm.Offset, limit int, wait time.Duration) (qm.Batch, error) {
+	q := fmt.Sprintf("%s?from=%d&max=%d&wait=%d", c.url(stream), from, limit, wait.Milliseconds())
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, q, nil)
+	if err != nil {
+		return qm.Batch{}, errors.Wrapf(err, "read %s at %s", stream, c.addr)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return qm.Batch{}, errors.Wrapf(err, "read %s at %s", stream, c.addr)
+	}
+	body, err := pool.ReadAll(resp)
+	if err != nil {
+		return qm.Batch{}, errors.Wrapf(err, "read %s at %s", stream, c.addr)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return qm.Batch{}, errors.Errorf("read %s at %s: status %d", stream, c.addr, resp.StatusCode)
+	}
+	b, err := decodeBatch(body, from)
+	return b, errors.Wrapf(err, "read %s at %s", stream, c.addr)
+}
+
+// Close closes idle connections.
+func (c *Client) Close() error {
+	c.pool.Close()
+	return nil
+}
--- /dev/null
+++ b/internal/client/plain/plain.go
@@ -0,0 +1,171 @@
+// Package plain is the client of plain services. It implements quetzalmount.ServiceClient and sends every call at most
+// once.
+package plain
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/pkg/errors"
+
+	qm "quetzalmount.dev/quetzalmount"
+	"quetzalmount.dev/quetzalmount/internal/client/pool"
+)
+
+// errCrossed is the cause of a failure when an answer carries the id of another request.
+var errCrossed = errors.New("answer belongs to another request")
+
+// Client talks to any number of services.
+type Client struct {
+	pool   *pool.Pool
+	pooled *http.Client
+	fresh  *http.Client
+}
+
+var _ qm.ServiceClient = (*Client)(nil)
+
+// New returns a client.
+func New(opts pool.Options) *Client {
+	p := pool.New(opts)
+	// A redirect would send the call a second time.
+	stay := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &Client{
+		pool: p, pooled: &http.Client{Transport: p, CheckRedirect: stay},
+		fresh: &http.Client{Transport: p.Fresh(), CheckRedirect: stay},
+	}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() error {
+	c.pool.Close()
+	return nil
+}
+
+type fenceKey struct{}
+
+// WithFence adds a fencing token to the calls made with the context, for services that refuse stale ones.
+func WithFence(ctx context.Context, token qm.Offset) context.Context {
+	return context.WithValue(ctx, fenceKey{}, token)
+}
+
+// Call implements quetzalmount.ServiceClient. An *Error with outcome NotRun means that no byte was sent and that none will
+// be; after any other error the call may have run. Any answer with the right request id is a result, whatever its status.
+//
+// A call that may not be repeated gets a connection of its own. On a reused one, the service may be closing it as idle when
+// the call is sent, which would leave the outcome unknown, and net/http would send a call with an Idempotency-Key again.
+func (c *Client) Call(ctx context.Context, e *qm.Endpoint, op qm.OperationID, call *qm.Call) (int, json.RawMessage, error) {
+	h := c.fresh
+	if call.Service.IsRepeatable(call.Name) {
+		h = c.pooled
+	}
+	req, err := newCall(ctx, e, op, call)
+	if err != nil {
+		return 0, nil, qm.Refuse(qm.CodeBadRequest, "call", "%v", err).At(e.Address)
+	}
+	status, body, err := exchange(h, req, "call", e, string(call.Request))
+	if err != nil {
+		qm.AsError(err).Operation = op
+		return 0, nil, err
+	}
+	return status, answer(body), nil
+}
+
+func newCall(ctx context.Context, e *qm.Endpoint, op qm.OperationID, call *qm.Call) (*http.Request, error) {
+	body := []byte(call.Body)
+	if len(body) == 0 {
+		body = []byte("null")
+	}
+	u := "http://" + e.Address + "/v1/calls/" + url.PathEscape(call.Name)
+	// NopCloser hides the type of the reader, so that net/http cannot rewind the body and send it a second time.
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, u, io.NopCloser(bytes.NewReader(body)))
+	if err != nil {
+		return nil, err
+	}
+	req.ContentLength = int64(len(body))
+	h := req.Header
+	h.Set("Content-Type", "application/json")
+	h.Set("X-Request-Id", string(call.Request))
+	h.Set("X-Operation", string(op))
+	if call.Key != "" {
+		h.Set("Idempotency-Key", string(call.Team)+"/"+call.Key)
+	}
+	if token, ok := ctx.Value(fenceKey{}).(qm.Offset); ok {
+		h.Set("X-Fence", strconv.FormatInt(int64(token), 10))
+	}
+	return req, nil
+}
+
+// exchange sends req once and returns the answer if it carries the request's id.
+func exchange(h *http.Client, req *http.Request, step string, e *qm.Endpoint, id string) (int, []byte, error) {
+	var trace pool.Trace
+	ctx := req.Context()
+	resp, err := h.Do(req.WithContext(trace.Context(ctx)))
+	if err != nil {
+		code := qm.CodeEndpoint
+		if ctx.Err() != nil {
+			code = qm.CodeTimeout
+		}
+		if !trace.Sent() {
+			return 0, nil, qm.Refuse(code, step, "%v", err).At(e.Address).Because(err)
+		}
+		return 0, nil, qm.Fail(code, step, e.Address, err)
+	}
+	if got := resp.Header.Get("X-Request-Id"); got != id {
+		trace.Drop()
+		_ = resp.Body.Close()
+		return 0, nil, qm.Fail(qm.CodeEndpoint, step, e.Address, errors.Wrapf(errCrossed, "answer has id %q, want %q", got, id))
+	}
+	body, err := pool.ReadAll(resp)
+	if err != nil {
+		return 0, nil, qm.Fail(qm.CodeEndpoint, step, e.Address, err)
+	}
+	return resp.StatusCode, body, nil
+}
+
+// answer returns the body as JSON; text of another kind becomes a JSON string.
+func answer(body []byte) json.RawMessage {
+	if json.Valid(body) {
+		return body
+	}
+	b, err := json.Marshal(string(body))
+	if err != nil {
+		return json.RawMessage("null")
+	}
+	return b
+}
+
+type operation struct {
+	State  string
+	Status int
+	Answer json.RawMessage
+}
+
+// Status implements quetzalmount.ServiceClient. A running operation is found, with outcome Unknown.
+func (c *Client) Status(ctx context.Context, e *qm.Endpoint, op qm.OperationID) (qm.Result, bool, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Address+"/v1/operations/"+url.PathEscape(string(op)), nil)
+	if err != nil {
+		return qm.Result{}, false, qm.Fail(qm.CodeInternal, "status", e.Address, err)
+	}
+	id := "status-" + string(op)
+	req.Header.Set("X-Request-Id", id)
+	status, body, err := exchange(c.pooled, req, "status", e, id)
+	if err != nil {
+		return qm.Result{}, false, err
+	}
+	var o operation
+	if err := json.Unmarshal(body, &o); err != nil || status != http.StatusOK {
+		return qm.Result{}, false, qm.Fail(qm.CodeEndpoint, "status", e.Address, errors.Errorf("status %d: %v", status, err))
+	}
+	switch o.State {
+	case "Done":
+		return qm.Result{Operation: op, Outcome: qm.Done, Status: o.Status, Answer: o.Answer}, true, nil
+	case "Running":
+		return qm.Result{Operation: op, Outcome: qm.Unknown}, true, nil
+	}
+	return qm.Result{Operation: op, Outcome: qm.Unknown}, false, nil
+}
--- /dev/null
+++ b/internal/standin/serve/serve.go
@@ -0,0 +1,105 @@
+// Package serve holds what the HTTP interfaces of the stand-ins share.
+package serve
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// maxBody bounds the size of a request body in bytes; the longest prompts are several megabytes.
+const maxBody = 64 << 20
+
+// stopTime is how long a stopping stand-in waits for open requests.
+const stopTime = 10 * time.Second
+
+// JSON writes v as the answer.
+func JSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// Refuse writes an error answer. after is the number of seconds until a retry makes sense, 0 for none.
+func Refuse(w http.ResponseWriter, status int, after float64, msg string) {
+	if after > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(after, 'g', 4, 64))
+	}
+	JSON(w, status, struct{ Message string }{msg})
+}
+
+// Abort ends the connection without an answer.
+func Abort() { panic(http.ErrAbortHandler) }
+
+// Read decodes the body of a request. It answers 400 and reports false if it cannot.
+func Read(w http.ResponseWriter, r *http.Request, v any) bool {
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(v); err != nil {
+		Refuse(w, http.StatusBadRequest, 0, err.Error())
+		return false
+	}
+	return true
+}
+
+// Faults adds GET and PUT /admin/faults. PUT replaces all faults; fields that the body leaves out are off.
+func Faults[F any](mux *http.ServeMux, get func() F, set func(F)) {
+	mux.HandleFunc("GET /admin/faults", func(w http.ResponseWriter, _ *http.Request) { JSON(w, http.StatusOK, get()) })
+	mux.HandleFunc("PUT /admin/faults", func(w http.ResponseWriter, r *http.Request) {
+		var f F
+		if Read(w, r, &f) {
+			set(f)
+			JSON(w, http.StatusOK, get())
+		}
+	})
+}
+
+// Number returns a number from the query, or def.
+func Number(r *http.Request, name string, def int64) int64 {
+	n, err := strconv.ParseInt(r.URL.Query().Get(name), 10, 64)
+	if err != nil {
+		return def
+	}
+	return n
+}
+
+// Sleep waits for d and reports false if the context ends first.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Run serves h on addr until ctx ends. leaving is called first, then open requests get time to finish.
+func Run(ctx context.Context, addr string, h http.Handler, leaving func()) error {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: stopTime}
+	done := make(chan error, 1)
+	go func() { done <- srv.Serve(l) }()
+	select {
+	case err := <-done:
+		return errors.Wrap(err, "serve")
+	case <-ctx.Done():
+	}
+	leaving()
+	stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTime)
+	defer cancel()
+	if err := srv.Shutdown(stop); err != nil {
+		return errors.Wrap(srv.Close(), "close")
+	}
+	return nil
+}
