--- /dev/null
+++ b/internal/member/roster/endpoint.go
@@ -0,0 +1,213 @@
+package roster
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	qm "quetzalmount.dev/quetzalmount"
+)
+
+// entry is what is known of an endpoint.
+type entry struct {
+	// view is what the board shows. It is replaced, never changed.
+	view *qm.Endpoint
+	// listedLeaving, saidLeaving and suspect make up the state. saidLeaving belongs to one incarnation.
+	listedLeaving, saidLeaving, suspect bool
+	// failures counts failures since the last success.
+	failures int
+	probing  bool
+	usedAt   time.Time
+	polledAt time.Time
+}
+
+func (e *entry) state() qm.MemberState {
+	switch {
+	case e.listedLeaving, e.saidLeaving:
+		return qm.Leaving
+	case e.suspect:
+		return qm.Suspect
+	}
+	return qm.Live
+}
+
+// mergeEndpoints takes the endpoints of the list; what the list dropped is forgotten. The caller holds r.mu.
+func (r *Roster) mergeEndpoints(list []*qm.Endpoint) {
+	seen := make(map[qm.EndpointID]bool, len(list))
+	for _, l := range list {
+		seen[l.ID] = true
+		e := r.endpoints[l.ID]
+		if e == nil {
+			e = &entry{view: &qm.Endpoint{}}
+			r.endpoints[l.ID] = e
+			r.moved = true
+		}
+		e.listedLeaving = l.State == qm.Leaving
+		v := *e.view
+		v.ID, v.Kind, v.Group, v.Address, v.DataCentre = l.ID, l.Kind, l.Group, l.Address, l.DataCentre
+		r.setEntry(e, &v)
+	}
+	for id := range r.endpoints {
+		if !seen[id] {
+			delete(r.endpoints, id)
+			r.dirty = true
+		}
+	}
+}
+
+// setEntry replaces the view of an endpoint. The caller holds r.mu.
+func (r *Roster) setEntry(e *entry, v *qm.Endpoint) {
+	v.State = e.state()
+	if !sameView(e.view, v) {
+		e.view = v
+		r.dirty = true
+	}
+}
+
+// sameView compares all fields but the slices, which change only together with ReportedAt.
+func sameView(a, b *qm.Endpoint) bool {
+	return a.ID == b.ID && a.Kind == b.Kind && a.Group == b.Group && a.Address == b.Address &&
+		a.DataCentre == b.DataCentre && a.State == b.State && a.Incarnation == b.Incarnation &&
+		a.ReportedAt.Equal(b.ReportedAt)
+}
+
+// refresh publishes the state of e after its flags changed. The caller holds r.mu.
+func (r *Roster) refresh(e *entry) {
+	v := *e.view
+	r.setEntry(e, &v)
+	r.publish()
+}
+
+// meet takes the incarnation that an endpoint answered with. A changed one ends what was known of the process before.
+// It reports whether it changed. The caller holds r.mu.
+func (r *Roster) meet(e *entry, inc qm.Incarnation) bool {
+	if inc == "" || inc == e.view.Incarnation {
+		return false
+	}
+	changed := e.view.Incarnation != ""
+	v := *e.view
+	v.Incarnation, v.Load, v.ReportedAt = inc, qm.Load{}, time.Time{}
+	e.saidLeaving, e.suspect, e.failures = false, false, 0
+	r.setEntry(e, &v)
+	return changed
+}
+
+// update runs f on an endpoint that is known, publishes the result and announces a changed incarnation.
+func (r *Roster) update(id qm.EndpointID, inc qm.Incarnation, f func(*entry)) {
+	r.mu.Lock()
+	e := r.endpoints[id]
+	if e == nil {
+		r.mu.Unlock()
+		return
+	}
+	changed := r.meet(e, inc)
+	f(e)
+	r.refresh(e)
+	r.mu.Unlock()
+	if changed {
+		r.opts.Changed(id, inc)
+	}
+}
+
+// Used tells that this router sends work to an endpoint, which makes it one to poll.
+func (r *Roster) Used(id qm.EndpointID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e := r.endpoints[id]; e != nil {
+		e.usedAt = time.Now()
+	}
+}
+
+// Succeeded tells that an endpoint answered. inc is the incarnation that it named, empty if it named none.
+func (r *Roster) Succeeded(id qm.EndpointID, inc qm.Incarnation) {
+	r.update(id, inc, func(e *entry) { e.suspect, e.failures = false, 0 })
+}
+
+// Failed tells that a request to an endpoint failed or went silent on an open connection. A probe over a new connection
+// decides whether the endpoint is suspect.
+func (r *Roster) Failed(id qm.EndpointID) {
+	r.update(id, "", func(e *entry) {
+		e.failures++
+		if e.failures >= FailuresToSuspect {
+			r.suspect(e)
+			return
+		}
+		r.probe(e)
+	})
+}
+
+// Refused tells that a new connection to an endpoint was refused. No probe is needed to call it suspect.
+func (r *Roster) Refused(id qm.EndpointID) {
+	r.update(id, "", func(e *entry) {
+		e.failures++
+		r.suspect(e)
+	})
+}
+
+// SaidLeaving tells that an endpoint said, in any answer, that it is leaving. It holds for that incarnation, whatever the
+// list says.
+func (r *Roster) SaidLeaving(id qm.EndpointID, inc qm.Incarnation) {
+	r.update(id, inc, func(e *entry) { r.leaving(e) })
+}
+
+// suspect marks an endpoint and keeps the evidence for peers. The caller holds r.mu.
+func (r *Roster) suspect(e *entry) {
+	if !e.suspect {
+		e.suspect = true
+		r.note(e, HintFailed)
+	}
+}
+
+// leaving marks an endpoint and keeps the evidence for peers. The caller holds r.mu.
+func (r *Roster) leaving(e *entry) {
+	if !e.saidLeaving {
+		e.saidLeaving = true
+		r.note(e, HintLeaving)
+	}
+}
+
+// probe starts a new connection to an endpoint unless one is under way. The caller holds r.mu.
+func (r *Roster) probe(e *entry) {
+	if e.probing || r.opts.Probe == nil {
+		return
+	}
+	e.probing = true
+	view := e.view
+	r.background(func(ctx context.Context) {
+		err := r.opts.Probe(ctx, view)
+		r.update(view.ID, "", func(e *entry) {
+			e.probing = false
+			switch {
+			case err != nil:
+				r.suspect(e)
+			case e.failures < FailuresToSuspect:
+				e.suspect = false
+			}
+		})
+	})
+}
+
+// probeSuspects probes suspect endpoints that no load poll reaches, so that they get work again once they answer.
+func (r *Roster) probeSuspects(context.Context) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, e := range r.endpoints {
+		if !e.suspect {
+			continue
+		}
+		// A suspect endpoint that takes connections gets one more chance; the next failure makes it suspect again.
+		e.failures = min(e.failures, FailuresToSuspect-1)
+		r.probe(e)
+	}
+}
+
+// endpointViews returns the endpoints ordered by id. The caller holds r.mu.
+func (r *Roster) endpointViews() qm.Endpoints {
+	out := make(qm.Endpoints, 0, len(r.endpoints))
+	for _, e := range r.endpoints {
+		out = append(out, e.view)
+	}
+	slices.SortFunc(out, func(a, b *qm.Endpoint) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return out
+}
--- /dev/null
+++ b/internal/member/roster/hint.go
@@ -0,0 +1,90 @@
+package roster
+
+import (
+	"time"
+
+	qm "quetzalmount.dev/quetzalmount"
+)
+
+// HintKind tells what a hint is evidence for.
+type HintKind int
+
+// Kinds of hints.
+const (
+	HintLeaving HintKind = iota + 1
+	HintFailed
+)
+
+// HintValidity is the age at which a hint is dropped. The list has caught up by then.
+const HintValidity = 30 * time.Second
+
+// Hint is evidence about an endpoint that routers pass on.
+type Hint struct {
+	Endpoint    qm.EndpointID
+	Incarnation qm.Incarnation
+	Kind        HintKind
+	Age         time.Duration
+}
+
+type timedHint struct {
+	hint Hint
+	at   time.Time
+}
+
+// note keeps own evidence for the peers. The caller holds r.mu.
+func (r *Roster) note(e *entry, k HintKind) {
+	h := timedHint{Hint{Endpoint: e.view.ID, Incarnation: e.view.Incarnation, Kind: k}, time.Now()}
+	r.hints = append(r.hints, h)
+	if over := len(r.hints) - hintsKept; over > 0 {
+		r.hints = append(r.hints[:0:0], r.hints[over:]...)
+	}
+}
+
+// TakeHints returns the own evidence since the last call, oldest first.
+func (r *Roster) TakeHints() []Hint {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make([]Hint, 0, len(r.hints))
+	for _, h := range r.hints {
+		if h.hint.Age = time.Since(h.at); h.hint.Age < HintValidity {
+			out = append(out, h.hint)
+		}
+	}
+	r.hints = nil
+	return out
+}
+
+// Hinted takes the evidence of a peer and reports whether it was news. A leaving endpoint gets no new work at once. A
+// failed one is probed first, because the fault may lie between the peer and the endpoint.
+func (r *Roster) Hinted(h Hint) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.endpoints[h.Endpoint]
+	if e == nil || h.Age >= HintValidity {
+		return false
+	}
+	known := e.view.Incarnation
+	if known != "" && h.Incarnation != "" && known != h.Incarnation {
+		return false
+	}
+	switch h.Kind {
+	case HintLeaving:
+		if e.saidLeaving {
+			return false
+		}
+		// The hint binds to the incarnation that it names, so that a restarted endpoint is not held to it.
+		if known == "" && h.Incarnation != "" {
+			r.meet(e, h.Incarnation)
+		}
+		e.saidLeaving = true
+		r.refresh(e)
+		return true
+	case HintFailed:
+		if e.suspect || e.probing {
+			return false
+		}
+		r.probe(e)
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/internal/member/roster/member.go
@@ -0,0 +1,134 @@
+package roster
+
+import (
+	"slices"
+	"strings"
+
+	qm "quetzalmount.dev/quetzalmount"
+)
+
+// member is what is known of a router.
+type member struct {
+	view qm.Member
+	// listedLeaving, saidLeaving and suspect make up the state. saidLeaving belongs to one incarnation.
+	listedLeaving, saidLeaving, suspect bool
+	// version orders the reports of one incarnation.
+	version int64
+}
+
+func (m *member) state() qm.MemberState {
+	switch {
+	case m.listedLeaving, m.saidLeaving:
+		return qm.Leaving
+	case m.suspect:
+		return qm.Suspect
+	}
+	return qm.Live
+}
+
+// PeerState is what a router says about itself, directly or passed on by others.
+type PeerState struct {
+	Instance    qm.InstanceID
+	Incarnation qm.Incarnation
+	TableOffset qm.Offset
+	Leaving     bool
+	// Version counts the changes of one incarnation.
+	Version int64
+}
+
+// mergeMembers takes the routers of the list. Routers that the list dropped are forgotten. The caller holds r.mu.
+func (r *Roster) mergeMembers(list []qm.Member) {
+	seen := map[qm.InstanceID]bool{r.opts.Self.Instance: true}
+	for _, l := range list {
+		seen[l.Instance] = true
+		if l.Instance == r.opts.Self.Instance {
+			continue
+		}
+		m := r.members[l.Instance]
+		if m == nil {
+			m = &member{}
+			r.members[l.Instance] = m
+		}
+		m.listedLeaving = l.State == qm.Leaving
+		l.Incarnation, l.TableOffset, l.Self = m.view.Incarnation, m.view.TableOffset, false
+		r.setMember(m, l)
+	}
+	for id := range r.members {
+		if !seen[id] {
+			delete(r.members, id)
+			r.dirty, r.moved = true, true
+		}
+	}
+}
+
+// setMember replaces the view of a member, with the state that follows from what is known. The caller holds r.mu.
+func (r *Roster) setMember(m *member, view qm.Member) {
+	view.State = m.state()
+	r.moved = r.moved || m.view.State != view.State
+	if m.view != view {
+		m.view = view
+		r.dirty = true
+	}
+}
+
+// PeerSaid takes the state of a router. direct tells that the router itself sent it, which proves that it is alive. It
+// reports whether the state was new. Older states of the same incarnation are ignored, and so are routers that the list
+// does not name, because their address is not known.
+func (r *Roster) PeerSaid(s PeerState, direct bool) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m := r.members[s.Instance]
+	if m == nil || m.view.Self {
+		return false
+	}
+	if direct {
+		m.suspect = false
+	}
+	// A state of another incarnation is taken only from the router itself unless none is known: a third router may still
+	// pass on the state of an incarnation that has ended.
+	same := m.view.Incarnation == s.Incarnation
+	fresh := m.view.Incarnation == "" || same && s.Version > m.version || !same && direct
+	view := m.view
+	if fresh {
+		view.Incarnation, view.TableOffset = s.Incarnation, s.TableOffset
+		m.version, m.saidLeaving = s.Version, s.Leaving
+	}
+	r.setMember(m, view)
+	r.publish()
+	return fresh
+}
+
+// PeerFailed tells that a router did not answer. It stays suspect until it answers.
+func (r *Roster) PeerFailed(id qm.InstanceID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m := r.members[id]
+	if m == nil || m.view.Self {
+		return
+	}
+	m.suspect = true
+	r.setMember(m, m.view)
+	r.publish()
+}
+
+// SelfApplied sets the configuration offset in the own entry.
+func (r *Roster) SelfApplied(offset qm.Offset) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m := r.members[r.opts.Self.Instance]
+	if m.view.TableOffset != offset {
+		m.view.TableOffset = offset
+		r.dirty = true
+		r.publish()
+	}
+}
+
+// memberViews returns the members ordered by id. The caller holds r.mu.
+func (r *Roster) memberViews() qm.Members {
+	out := make(qm.Members, 0, len(r.members))
+	for _, m := range r.members {
+		out = append(out, m.view)
+	}
+	slices.SortFunc(out, func(a, b qm.Member) int { return strings.Compare(string(a.Instance), string(b.Instance)) })
+	return out
+}
--- /dev/null
+++ b/internal/member/roster/poll_test.go
@@ -0,0 +1,50 @@
+package roster_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qm "quetzalmount.dev/quetzalmount"
+	"quetzalmount.dev/quetzalmount/internal/member/roster"
+	"quetzalmount.dev/quetzalmount/internal/state/board"
+)
+
+// TestPollsAreBounded guards against a router that polls all 3,200 engines, and against a bound that starves the engines
+// in use.
+func TestPollsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const routers, engines, rounds = 420, 3200, 30
+		var list []qm.Member
+		var eps []*qm.Endpoint
+		for i := range routers {
+			list = append(list, qm.Member{Instance: qm.InstanceID(fmt.Sprint("r", i)), State: qm.Live})
+		}
+		for i := range engines {
+			eps = append(eps, &qm.Endpoint{ID: qm.EndpointID(fmt.Sprint("e", i)), Kind: qm.KindEngine, State: qm.Live})
+		}
+		polls := map[qm.EndpointID]int{}
+		r := roster.New(t.Context(), roster.Options{
+			Board: board.New(), Self: list[0], PollsPerRound: 1,
+			List: func(context.Context) ([]qm.Member, []*qm.Endpoint, error) { return list, eps, nil },
+			Load: func(_ context.Context, e *qm.Endpoint) (roster.Report, error) {
+				polls[e.ID]++
+				return roster.Report{Incarnation: "i"}, nil
+			},
+		})
+		defer r.Close()
+		synctest.Wait()
+		r.Used("e77")
+		time.Sleep(rounds*time.Second - time.Millisecond)
+		synctest.Wait()
+		total := 0
+		for _, n := range polls {
+			total += n
+		}
+		if total > rounds+1 || polls["e77"] < rounds-2 {
+			t.Errorf("%d polls in %d rounds, %d of them to the engine in use", total, rounds, polls["e77"])
+		}
+	})
+}
