Add prefix keys and the bounded prefix table

Cause: the placement decision needs keys that are equal only for equal prompts of one team on one set of weights, and a memory of recent prefixes whose size does not depend on the traffic. Each step of a prompt hashes the key before it, the kind of cut, the role and the text. Ruled out: one running digest over the prompt, because text could imitate a message boundary unless lengths are hashed first, and lengths would change the keys of blocks inside a growing message. A map with a list, because it allocates and has no fixed size.

--- /dev/null
+++ b/internal/route/prefix/prefix.go
@@ -0,0 +1,105 @@
+// Package prefix computes the keys of a prompt's prefixes.
+//
+// A prompt is cut at the end of each message and at each multiple of a cache block. The key of a cut is a hash of the
+// previous key and of the text in between, and the chain starts from the team, the model and the weights version. Equal
+// keys therefore mean equal prompts of the same team on the same weights, up to collisions of a 64-bit hash. A collision
+// can only mislead the choice of an engine: engines match their cache by text under the salt that Salt returns.
+package prefix
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+
+	"github.com/cespare/xxhash/v2"
+
+	"quetzalmount.dev/quetzalmount"
+)
+
+const (
+	// blockBytes is the estimated size of one cache block of text.
+	blockBytes = int(quetzalmount.BlockTokens) * quetzalmount.BytesPerToken
+	// saltBytes is the part of the SHA-256 sum that the salt keeps: 128 bits make an accidental collision between the
+	// 12,000 teams of the target size negligible.
+	saltBytes = 16
+)
+
+// The kinds of cuts. They are part of the hash, so that text can not imitate the end of a message.
+const (
+	cutBlock   = 'b'
+	cutMessage = 'm'
+)
+
+// Scope is what a cache entry is bound to besides the text.
+type Scope struct {
+	Team    quetzalmount.TeamID
+	Model   quetzalmount.ModelID
+	Version quetzalmount.VersionID
+}
+
+// Salt returns the string that engines mix into their cache keys. It names neither the team nor the weights.
+func (s Scope) Salt() string {
+	sum := s.sum()
+	return hex.EncodeToString(sum[:saltBytes])
+}
+
+// Root returns the key of the empty prompt, from which every chain of the scope starts.
+func (s Scope) Root() quetzalmount.PrefixKey {
+	sum := s.sum()
+	return quetzalmount.PrefixKey(binary.LittleEndian.Uint64(sum[:8]))
+}
+
+// sum hashes the fields with their lengths, so that no two scopes share an encoding.
+func (s Scope) sum() [sha256.Size]byte {
+	buf := make([]byte, 0, 256)
+	for _, f := range []string{string(s.Team), string(s.Model), string(s.Version)} {
+		buf = binary.AppendUvarint(buf, uint64(len(f)))
+		buf = append(buf, f...)
+	}
+	return sha256.Sum256(buf)
+}
+
+// Spans returns the steps of a prompt, shortest prefix first. The ends are estimates in tokens.
+func (s Scope) Spans(messages []quetzalmount.Message) []quetzalmount.PrefixSpan {
+	return s.Append(nil, messages)
+}
+
+// Append appends the steps of a prompt to dst.
+func (s Scope) Append(dst []quetzalmount.PrefixSpan, messages []quetzalmount.Message) []quetzalmount.PrefixSpan {
+	key, at := s.Root(), 0
+	for _, m := range messages {
+		text, role := m.Content, m.Role
+		for room := blockBytes - at%blockBytes; len(text) > room; room = blockBytes {
+			at += room
+			key = next(key, cutBlock, role, text[:room])
+			dst = append(dst, quetzalmount.PrefixSpan{Key: key, End: quetzalmount.EstimateTokens(at)})
+			text, role = text[room:], ""
+		}
+		at += len(text)
+		key = next(key, cutMessage, role, text)
+		dst = append(dst, quetzalmount.PrefixSpan{Key: key, End: quetzalmount.EstimateTokens(at)})
+	}
+	return dst
+}
+
+// next hashes one step of the chain. role is empty but for the first step of a message.
+func next(prev quetzalmount.PrefixKey, cut byte, role, text string) quetzalmount.PrefixKey {
+	var head [13]byte
+	binary.LittleEndian.PutUint64(head[:8], uint64(prev))
+	head[8] = cut
+	binary.LittleEndian.PutUint32(head[9:], uint32(len(role)))
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.Write(head[:])
+	_, _ = d.WriteString(role)
+	_, _ = d.WriteString(text)
+	return quetzalmount.PrefixKey(d.Sum64())
+}
+
+// Step returns the key that follows prev for a step named by id. Load generators build chains with it without text.
+func Step(prev quetzalmount.PrefixKey, id uint64) quetzalmount.PrefixKey {
+	var buf [16]byte
+	binary.LittleEndian.PutUint64(buf[:8], uint64(prev))
+	binary.LittleEndian.PutUint64(buf[8:], id)
+	return quetzalmount.PrefixKey(xxhash.Sum64(buf[:]))
+}
--- /dev/null
+++ b/internal/route/sketch/sketch_test.go
@@ -0,0 +1,122 @@
+package sketch
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"quetzalmount.dev/quetzalmount"
+)
+
+// holds reports whether the table names engine with epoch as a holder of key.
+func holds(t *Table, key quetzalmount.PrefixKey, engine Slot, epoch uint16) bool {
+	for _, h := range t.Get(key) {
+		if h.Engine == engine && h.Epoch == epoch {
+			return true
+		}
+	}
+	return false
+}
+
+// TestTable guards against holders that outlive their drop, entries above the bound, and a fresh entry that is lost to an
+// older one.
+func TestTable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.IntRange(1, 64).Draw(t, "limit")
+		tab := New(limit)
+		if tab.Cap() < limit || tab.Cap() > 2*limit+ways {
+			t.Fatalf("bound = %d, want about %d", tab.Cap(), limit)
+		}
+		now := Tick(1)
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now++
+			key := quetzalmount.PrefixKey(rapid.IntRange(1, 300).Draw(t, "key"))
+			engine := Slot(rapid.IntRange(0, 2*Holders).Draw(t, "engine"))
+			epoch := uint16(rapid.IntRange(1, 3).Draw(t, "epoch"))
+			if rapid.Bool().Draw(t, "drop") {
+				tab.Drop(key, engine)
+				for _, h := range tab.Get(key) {
+					if h.Epoch != 0 && h.Engine == engine {
+						t.Fatalf("engine %d still holds %d after its drop", engine, key)
+					}
+				}
+				continue
+			}
+			tab.Add(key, engine, epoch, now)
+			if !holds(tab, key, engine, epoch) {
+				t.Fatalf("engine %d does not hold %d after it was added", engine, key)
+			}
+			if tab.Len() > tab.Cap() {
+				t.Fatalf("%d entries, bound %d", tab.Len(), tab.Cap())
+			}
+		}
+	})
+}
+
+// TestOldestGivesWay guards against dropping recent holders and recent prefixes in favour of old ones.
+func TestOldestGivesWay(t *testing.T) {
+	tab := New(1)
+	for e := range Slot(Holders + 1) {
+		tab.Add(7, e, 1, Tick(e)+1)
+	}
+	if holds(tab, 7, 0, 1) || !holds(tab, 7, 1, 1) || !holds(tab, 7, Holders, 1) {
+		t.Errorf("holders = %v, want all but engine 0", tab.Get(7))
+	}
+	for k := range quetzalmount.PrefixKey(ways) {
+		tab.Add(100+k, 1, 1, 50+Tick(k))
+	}
+	if tab.Get(7) != nil || tab.Get(100) == nil {
+		t.Errorf("the least recently used prefix is still in a full set, or a newer one is not")
+	}
+}
+
+// TestHot guards against a hot prefix that hides among many rare ones, and against one that stays hot after a shift.
+func TestHot(t *testing.T) {
+	h := NewHot(32, time.Second)
+	send := func(hot quetzalmount.PrefixKey, from, to Tick) {
+		for now := from; now < to; now++ {
+			h.Add(hot, now)
+			for i := range quetzalmount.PrefixKey(3) {
+				h.Add(1000+quetzalmount.PrefixKey(now)*3+i, now)
+			}
+		}
+	}
+	send(1, 0, 500)
+	if share, _ := h.Share(1); math.Abs(share-0.25) > 0.01 {
+		t.Errorf("share of the hot prefix = %.3f, want 0.25", share)
+	}
+	send(2, 500, 1000)
+	if share, _ := h.Share(1); share > 0.02 {
+		t.Errorf("share after five half-lives without traffic = %.3f, want below 0.02", share)
+	}
+	if share, _ := h.Share(2); share < 0.2 {
+		t.Errorf("share of the new hot prefix = %.3f, want above 0.2", share)
+	}
+}
+
+// TestNoAllocation guards against garbage on the path of every request.
+func TestNoAllocation(t *testing.T) {
+	tab, hot, now := New(1024), NewHot(64, time.Second), Tick(0)
+	got := testing.AllocsPerRun(1000, func() {
+		now++
+		key := quetzalmount.PrefixKey(now) * 7919
+		tab.Add(key, Slot(now%12), 1, now)
+		tab.Get(key)
+		tab.Drop(key-7919*5, Slot(now%12))
+		hot.Add(key, now)
+	})
+	if got != 0 {
+		t.Errorf("%.1f allocations a step, want 0", got)
+	}
+}
+
+func BenchmarkAdd(b *testing.B) {
+	tab, now := New(1<<15), Tick(0)
+	for b.Loop() {
+		now++
+		tab.Add(quetzalmount.PrefixKey(now%40000)*7919, Slot(now%12), 1, now)
+	}
+	b.ReportMetric(float64(tab.Bytes())/float64(tab.Cap()), "bytes/prefix")
+}
