Add the placement policy, its baselines and the comparison on virtual time

The first policy minimised the expected time to first token and preferred the home only within a slack. It made copies of prefixes wherever a queue was shorter, and the copies pushed each other out of the caches. The cost of tokens that are prefilled away from the home is now scaled by 1 + Stray. Ruled out: an oracle that takes the longest hit in the real caches.

--- /dev/null
+++ b/internal/bench/run/report.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"encoding/csv"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strconv"
+	"text/tabwriter"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"quetzalmount.dev/quetzalmount/internal/bench/trial"
+)
+
+// table prints one line for each result. Times are in milliseconds, recomputed tokens in thousands.
+func table(w io.Writer, results []*trial.Result) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "deployment\tcase\tpolicy\trequests\tbusy\thit\tp50 ms\tp95 ms\tp99 ms\trecomputed k\tshare\tJain\t")
+	for _, r := range results {
+		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%.2f\t%.3f\t%.0f\t%.0f\t%.0f\t%.0f\t%.3f\t%.3f\t\n", r.Deployment, r.Case, r.Policy,
+			r.Requests(), r.Busy, r.HitRate(), 1000*r.Quantile(0.5), 1000*r.Quantile(0.95), 1000*r.Quantile(0.99),
+			r.RecomputedTokens()/1000, r.Recomputed(), r.Fairness())
+	}
+	return t.Flush()
+}
+
+// ratioTable prints the comparison with the baselines.
+func ratioTable(w io.Writer, ratios []trial.Ratio) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "\ndeployment\tcase\thit/best\thit/oracle\tp99/best\trecomputed/best\trecomputed/hash\t")
+	for _, r := range ratios {
+		fmt.Fprintf(t, "%s\t%s\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t\n", r.Deployment, r.Case, r.HitRatio, r.OracleRatio,
+			r.TailRatio, r.RecomputeRatio, r.HashRecomputeRatio)
+	}
+	return t.Flush()
+}
+
+// files writes the single results as CSV and the merged ones as plots.
+func files(dir string, merged, single []*trial.Result) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	f, err := os.Create(filepath.Join(dir, "placement.csv"))
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	if err := writeCSV(f, single); err != nil {
+		return err
+	}
+	plots := []struct {
+		name, label string
+		value       func(*trial.Result) float64
+	}{
+		{"hit", "prefix hit rate", (*trial.Result).HitRate},
+		{"tail", "p99 of time to first token, s", func(r *trial.Result) float64 { return r.Quantile(0.99) }},
+		{"recomputed", "share of prompt tokens recomputed", (*trial.Result).Recomputed},
+	}
+	for _, d := range trial.Deployments() {
+		for _, p := range plots {
+			if err := bars(filepath.Join(dir, d.Name+"-"+p.name+".svg"), d.Name, p.label, merged, p.value); err != nil {
+				return err
+			}
+		}
+	}
+	return f.Close()
+}
+
+// writeCSV writes one row for each run.
+func writeCSV(w io.Writer, results []*trial.Result) error {
+	c := csv.NewWriter(w)
+	_ = c.Write([]string{
+		"Deployment", "Case", "Policy", "Seed", "Requests", "Busy", "HitRate", "P50Ms", "P95Ms", "P99Ms",
+		"RecomputedTokens", "RecomputedShare", "Jain",
+	})
+	num := func(x float64, digits int) string { return strconv.FormatFloat(x, 'f', digits, 64) }
+	for _, r := range results {
+		_ = c.Write([]string{
+			r.Deployment, r.Case, r.Policy, strconv.FormatUint(r.Seed, 10), strconv.Itoa(r.Requests()), num(r.Busy, 4),
+			num(r.HitRate(), 5), num(1000*r.Quantile(0.5), 2), num(1000*r.Quantile(0.95), 2), num(1000*r.Quantile(0.99), 2),
+			num(r.RecomputedTokens(), 0), num(r.Recomputed(), 5), num(r.Fairness(), 4),
+		})
+	}
+	c.Flush()
+	return c.Error()
+}
+
+// bars draws one group of bars for each case and one bar for each policy.
+func bars(path, title, label string, results []*trial.Result, value func(*trial.Result) float64) error {
+	p := plot.New()
+	p.Title.Text, p.Y.Label.Text, p.Legend.Top = title, label, true
+	const width = 7
+	var cases, policies []string
+	values := map[string]plotter.Values{}
+	for _, r := range results {
+		if r.Deployment != title {
+			continue
+		}
+		if len(cases) == 0 || cases[len(cases)-1] != r.Case {
+			cases = append(cases, r.Case)
+		}
+		if len(cases) == 1 {
+			policies = append(policies, r.Policy)
+		}
+		values[r.Policy] = append(values[r.Policy], value(r))
+	}
+	for i, name := range policies {
+		b, err := plotter.NewBarChart(values[name], vg.Points(width))
+		if err != nil {
+			return err
+		}
+		b.Color, b.LineStyle.Width = plotutil.Color(i), 0
+		b.Offset = vg.Points(width * (float64(i) - float64(len(policies)-1)/2))
+		p.Add(b)
+		p.Legend.Add(name, b)
+	}
+	p.NominalX(cases...)
+	p.Y.Min = 0
+	p.Y.Max *= 1.25
+	return p.Save(26*vg.Centimeter, 10*vg.Centimeter, path)
+}
--- /dev/null
+++ b/internal/bench/trial/variants.go
@@ -0,0 +1,37 @@
+package trial
+
+import (
+	"strconv"
+
+	"quetzalmount.dev/quetzalmount"
+	"quetzalmount.dev/quetzalmount/internal/route/place"
+)
+
+// Variants returns the policies that docs/PLACEMENT.md weighs: consistent hashing and the router's policy with the prefix
+// at other levels, and the router's policy without one of its parts.
+func Variants() []Policy {
+	var all []Policy
+	for _, share := range []float64{0, 0.4, 0.7, 0.99} {
+		all = append(all, Policy{
+			Name: "hash " + strconv.FormatFloat(share, 'f', 2, 64),
+			New:  func(*world) quetzalmount.Placer { return place.NewHash(share) },
+		})
+	}
+	ours := func(name string, edit func(*place.Options)) {
+		opt := place.Defaults()
+		edit(&opt)
+		all = append(all, Policy{Name: name, New: func(*world) quetzalmount.Placer { return place.New(opt) }})
+	}
+	for _, share := range []float64{0, 0.4, 0.7, 0.99} {
+		ours("expected "+strconv.FormatFloat(share, 'f', 2, 64), func(o *place.Options) { o.HomeShare = share })
+	}
+	for _, stray := range []float64{0, 0.5, 2, 4, 8} {
+		ours("stray "+strconv.FormatFloat(stray, 'f', 1, 64), func(o *place.Options) { o.Stray = stray })
+	}
+	ours("no spread", func(o *place.Options) { o.HotFactor = 0 })
+	ours("spread 1", func(o *place.Options) { o.HotFactor = 1 })
+	ours("no lots", func(o *place.Options) { o.Near, o.NearShare = 0, 0 })
+	ours("bound 1.25", func(o *place.Options) { o.LoadFactor, o.LoadFloor = 1.25, 1 })
+	ours("bound 4", func(o *place.Options) { o.LoadFactor = 4 })
+	return all
+}
--- /dev/null
+++ b/internal/route/place/learn.go
@@ -0,0 +1,117 @@
+package place
+
+import (
+	"time"
+
+	"quetzalmount.dev/quetzalmount"
+	"quetzalmount.dev/quetzalmount/internal/route/sketch"
+)
+
+const (
+	// costWeight is the weight of one observed first token in the learned prefill cost.
+	costWeight = 0.05
+	// serviceWeight is the weight of one finished request in the learned time in a slot.
+	serviceWeight = 0.02
+	// leastSample is the least number of tokens that a first token must have waited for to say something about the cost.
+	leastSample = 2000
+)
+
+// Dispatched implements quetzalmount.Placer. The engine will hold the prompt once it is prefilled, and requests that follow
+// before that wait behind it, so the prompt counts as held from now on.
+func (p *Expected) Dispatched(r *quetzalmount.PlaceRequest, d quetzalmount.Decision, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fleet.start(r, d, now)
+	e, slot, ok := p.fleet.current(d.Endpoint.ID, d.Incarnation)
+	if !ok {
+		return
+	}
+	tick := p.fleet.tick(now)
+	for _, s := range r.Spans {
+		p.table.Add(s.Key, slot, e.epoch, tick)
+	}
+}
+
+// FirstToken implements quetzalmount.Placer.
+func (p *Expected) FirstToken(
+	r *quetzalmount.PlaceRequest, d quetzalmount.Decision, cached quetzalmount.Tokens, now time.Time,
+) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f, e := p.fleet.prefilled(r, d)
+	if e == nil {
+		return
+	}
+	// A long queue says more about the quality of the load report than about the cost.
+	missing := float64(r.PromptTokens - cached)
+	if missing >= leastSample && missing >= f.ahead {
+		e.cost += costWeight * (now.Sub(f.started).Seconds()/(missing+f.ahead) - e.cost)
+	}
+}
+
+// Finished implements quetzalmount.Placer.
+func (p *Expected) Finished(r *quetzalmount.PlaceRequest, d quetzalmount.Decision, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f, e := p.fleet.end(r, d)
+	if e == nil {
+		return
+	}
+	if f.prefilled {
+		e.service += serviceWeight * (now.Sub(f.started).Seconds() - e.service)
+		return
+	}
+	// A request that failed before its first token leaves nothing certain in the cache.
+	for _, s := range r.Spans {
+		if s.End > d.Hit {
+			p.table.Drop(s.Key, f.engine)
+		}
+	}
+}
+
+// Observe implements quetzalmount.CacheObserver. Events of another incarnation than the one in the view are ignored.
+func (p *Expected) Observe(
+	id quetzalmount.EndpointID, inc quetzalmount.Incarnation, events []quetzalmount.CacheEvent, gap bool, now time.Time,
+) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e, slot, ok := p.fleet.current(id, inc)
+	if !ok {
+		return
+	}
+	// Events describe the past. An entry that an own dispatch renewed since is newer than an eviction reported now.
+	then := p.fleet.tick(now.Add(-p.opt.EventLag))
+	if gap {
+		e.gap = then
+	}
+	for _, ev := range events {
+		seen, held := p.seen(ev.Block, slot, e.epoch)
+		switch {
+		case held && seen > then:
+		case ev.Stored:
+			p.table.Add(ev.Block, slot, e.epoch, then)
+		default:
+			p.table.Drop(ev.Block, slot)
+		}
+	}
+}
+
+// seen returns when an engine was last known to hold a prefix.
+func (p *Expected) seen(key quetzalmount.PrefixKey, slot sketch.Slot, epoch uint16) (sketch.Tick, bool) {
+	for _, h := range p.table.Get(key) {
+		if h.Engine == slot && h.Epoch == epoch {
+			return h.Seen, true
+		}
+	}
+	return 0, false
+}
+
+// Forget implements quetzalmount.CacheObserver.
+func (p *Expected) Forget(id quetzalmount.EndpointID, inc quetzalmount.Incarnation) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s, ok := p.fleet.byID[id]; ok && p.fleet.engines[s].inc != inc {
+		e := &p.fleet.engines[s]
+		e.renew(inc, e.version)
+	}
+}
--- /dev/null
+++ b/internal/route/place/least.go
@@ -0,0 +1,67 @@
+package place
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"quetzalmount.dev/quetzalmount"
+)
+
+// least takes the engine with the fewest requests.
+type least struct {
+	mu    sync.Mutex
+	fleet *fleet
+}
+
+func newLeast() *least { return &least{fleet: newFleet()} }
+
+// Place implements quetzalmount.Placer.
+func (l *least) Place(
+	r *quetzalmount.PlaceRequest, engines []*quetzalmount.Endpoint, now time.Time, rnd *rand.Rand,
+) (quetzalmount.Decision, bool) {
+	state, n := tier(engines, r.Exclude)
+	if n == 0 {
+		return quetzalmount.Decision{}, false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fleet.sync(engines, now)
+	var best *quetzalmount.Endpoint
+	low, ties := 0, 0
+	for i, e := range engines {
+		if !usable(e, state, r.Exclude) {
+			continue
+		}
+		load := l.fleet.at(i).load()
+		if best == nil || load < low {
+			best, low, ties = e, load, 1
+		} else if load == low {
+			if ties++; rnd.IntN(ties) == 0 {
+				best = e
+			}
+		}
+	}
+	return quetzalmount.Decision{Endpoint: best, Incarnation: best.Incarnation, Reason: reasonLeast}, true
+}
+
+// Dispatched implements quetzalmount.Placer.
+func (l *least) Dispatched(r *quetzalmount.PlaceRequest, d quetzalmount.Decision, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fleet.start(r, d, now)
+}
+
+// FirstToken implements quetzalmount.Placer.
+func (l *least) FirstToken(r *quetzalmount.PlaceRequest, d quetzalmount.Decision, _ quetzalmount.Tokens, _ time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fleet.prefilled(r, d)
+}
+
+// Finished implements quetzalmount.Placer.
+func (l *least) Finished(r *quetzalmount.PlaceRequest, d quetzalmount.Decision, _ time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fleet.end(r, d)
+}
--- /dev/null
+++ b/internal/route/place/place.go
@@ -0,0 +1,237 @@
+package place
+
+import (
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"quetzalmount.dev/quetzalmount"
+	"quetzalmount.dev/quetzalmount/internal/route/sketch"
+)
+
+// Options are the parameters of the policy. docs/PLACEMENT.md has the measurements behind the defaults.
+type Options struct {
+	// Prefixes bounds the table of recent prefixes, at 80 bytes each.
+	Prefixes int
+	// HomeShare is the part of a prompt whose prefix selects the home engine.
+	HomeShare float64
+	// Stray scales the cost of tokens that are prefilled at an engine that is not a home of the prefix: the copy takes memory
+	// and makes other prefixes miss later. The engine that follows the homes by weight pays half.
+	Stray float64
+	// Near is the difference in expected time within which engines count as equal, NearShare the same relative to the best.
+	Near      time.Duration
+	NearShare float64
+	// LoadFactor bounds the requests of an engine relative to the mean, LoadFloor is the least bound.
+	LoadFactor float64
+	LoadFloor  int
+	// HotKeys is the number of counters for hot prefixes, HotMemory the half-life of a count, HotCount the number of
+	// occurrences below which a prefix is not called hot.
+	HotKeys   int
+	HotMemory time.Duration
+	HotCount  float64
+	// HotFactor is the number of homes of a prefix for each engine's worth of the router's requests that it makes up.
+	HotFactor float64
+	// GapTrust scales the confidence in entries that were seen before a gap in the engine's events.
+	GapTrust float64
+	// EventLag is the assumed delay of cache events.
+	EventLag time.Duration
+}
+
+// Defaults returns the parameters in use.
+func Defaults() Options {
+	return Options{
+		Prefixes: 1 << 15, HomeShare: 0.7, Stray: 1, Near: 5 * time.Millisecond, NearShare: 0.1,
+		LoadFactor: 2, LoadFloor: 8, HotKeys: 64, HotMemory: 3 * time.Second, HotCount: 4, HotFactor: 0.5,
+		GapTrust: 0.7, EventLag: time.Second,
+	}
+}
+
+// Expected places a request where its first token is expected soonest.
+type Expected struct {
+	opt Options
+
+	mu    sync.Mutex
+	fleet *fleet
+	table *sketch.Table
+	hot   *sketch.Hot
+	stamp uint32
+	homes homes
+	// times is the expected time of each engine in the list, in seconds, or +Inf if it may not be chosen. scores is the same
+	// with the cost of copies.
+	times, scores []float64
+}
+
+var (
+	_ quetzalmount.Placer        = (*Expected)(nil)
+	_ quetzalmount.CacheObserver = (*Expected)(nil)
+)
+
+// New returns a placer without any state.
+func New(opt Options) *Expected {
+	return &Expected{
+		opt: opt, fleet: newFleet(), table: sketch.New(opt.Prefixes), hot: sketch.NewHot(opt.HotKeys, opt.HotMemory),
+	}
+}
+
+// Place implements quetzalmount.Placer.
+func (p *Expected) Place(
+	r *quetzalmount.PlaceRequest, engines []*quetzalmount.Endpoint, now time.Time, rnd *rand.Rand,
+) (quetzalmount.Decision, bool) {
+	state, n := tier(engines, r.Exclude)
+	if n == 0 {
+		return quetzalmount.Decision{}, false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fleet.sync(engines, now)
+	tick := p.fleet.tick(now)
+	key := affinity(r, p.opt.HomeShare)
+	p.hot.Add(key, tick)
+	p.trace(r, tick)
+	p.homes.reset(p.spread(key, n))
+	best := p.score(r, engines, state, n, key)
+	at, reason := p.choose(best, rnd)
+	e := p.fleet.at(at)
+	d := quetzalmount.Decision{
+		Endpoint: engines[at], Incarnation: engines[at].Incarnation, Reason: reason,
+		Expected: time.Duration(p.times[at] * float64(time.Second)),
+	}
+	if e.stamp == p.stamp {
+		d.Hit = quetzalmount.Tokens(e.hit)
+	}
+	return d, true
+}
+
+// trace computes the expected hit of every engine that the table names for the prompt. An engine that holds a step holds
+// the steps before it too, so the steps are walked from the longest on.
+func (p *Expected) trace(r *quetzalmount.PlaceRequest, now sketch.Tick) {
+	p.stamp++
+	for i := len(r.Spans) - 1; i >= 0; i-- {
+		for _, h := range p.table.Get(r.Spans[i].Key) {
+			if h.Epoch == 0 || int(h.Engine) >= len(p.fleet.engines) {
+				continue
+			}
+			e := &p.fleet.engines[h.Engine]
+			if h.Epoch != e.epoch {
+				continue
+			}
+			if e.stamp != p.stamp {
+				e.stamp, e.hit, e.conf = p.stamp, 0, 0
+			}
+			if c := p.confidence(e, h, now); c > e.conf {
+				e.hit += float64(r.Spans[i].End) * (c - e.conf)
+				e.conf = c
+			}
+		}
+	}
+}
+
+// confidence returns the chance that a holder still has the prefix. Caches evict the least recently used block, so the
+// chance is near 1 until the age reaches the time that unused blocks stay, and falls quickly after it.
+func (p *Expected) confidence(e *engine, h sketch.Holder, now sketch.Tick) float64 {
+	age := time.Duration(now-h.Seen) * sketch.TickTime
+	x := age.Seconds() / math.Max(e.stay, 0.001)
+	x *= x
+	c := 1 / (1 + x*x)
+	if h.Seen < e.gap {
+		c *= p.opt.GapTrust
+	}
+	return c
+}
+
+// spread returns the number of homes of a prefix: one, or more if it makes up more of the requests than one of n engines
+// should serve.
+func (p *Expected) spread(key quetzalmount.PrefixKey, n int) int {
+	share, count := p.hot.Share(key)
+	if count < p.opt.HotCount {
+		return 1
+	}
+	return max(1, min(int(math.Ceil(share*float64(n)*p.opt.HotFactor)), n, maxHomes))
+}
+
+// score fills in the expected times, the homes and the scores, and returns the least score.
+func (p *Expected) score(
+	r *quetzalmount.PlaceRequest, engines []*quetzalmount.Endpoint, state quetzalmount.MemberState, n int,
+	key quetzalmount.PrefixKey,
+) float64 {
+	total := 0
+	p.times, p.scores = p.times[:0], p.scores[:0]
+	for i, ep := range engines {
+		p.times = append(p.times, math.Inf(1))
+		p.scores = append(p.scores, math.Inf(1))
+		if usable(ep, state, r.Exclude) {
+			total += p.fleet.at(i).load()
+			p.times[i] = 0
+		}
+	}
+	bound := p.bound(total, n)
+	for i := range engines {
+		e := p.fleet.at(i)
+		if p.times[i] != 0 {
+			continue
+		}
+		if e.load()+1 > bound {
+			p.times[i] = math.Inf(1)
+			continue
+		}
+		p.times[i] = p.expect(r, e)
+		p.scores[i] = p.times[i] + p.opt.Stray*p.missing(r, e)*e.cost
+		p.homes.offer(weigh(key, e.hash), i)
+	}
+	p.homes.refund(p.scores, p.times)
+	best := math.Inf(1)
+	for _, s := range p.scores {
+		best = math.Min(best, s)
+	}
+	return best
+}
+
+// bound returns the number of requests that no engine may exceed while total requests run on n engines. It is above the
+// mean, so at least one engine is below it.
+func (p *Expected) bound(total, n int) int {
+	mean := float64(total+1) / float64(n)
+	return max(p.opt.LoadFloor, int(math.Ceil(mean*p.opt.LoadFactor)))
+}
+
+// expect returns the expected time to first token at an engine, in seconds.
+func (p *Expected) expect(r *quetzalmount.PlaceRequest, e *engine) float64 {
+	tokens := e.pending + e.others() + p.missing(r, e)
+	wait := 0.0
+	if over := e.load() + 1 - e.slots; over > 0 && e.slots > 0 {
+		wait = float64(over) * e.service / float64(e.slots)
+	}
+	return tokens*e.cost + wait
+}
+
+// missing returns the tokens that the engine is expected to prefill.
+func (p *Expected) missing(r *quetzalmount.PlaceRequest, e *engine) float64 {
+	if e.stamp != p.stamp {
+		return float64(r.PromptTokens)
+	}
+	return math.Max(0, float64(r.PromptTokens)-e.hit)
+}
+
+// choose returns the position of the engine to use. A home that is as good as the best engine comes first, then one of the
+// near-equal engines by lot, so that routers with the same reports do not all choose the same engine.
+func (p *Expected) choose(best float64, rnd *rand.Rand) (int, string) {
+	limit := best + math.Max(p.opt.Near.Seconds(), p.opt.NearShare*best)
+	if at := p.homes.best(p.scores); at >= 0 && p.scores[at] <= limit {
+		if p.homes.want > 1 {
+			return at, reasonSpread
+		}
+		return at, reasonHome
+	}
+	at, ties := 0, 0
+	for i, s := range p.scores {
+		if s <= limit {
+			if ties++; rnd.IntN(ties) == 0 {
+				at = i
+			}
+		}
+	}
+	if e := p.fleet.at(at); e.stamp == p.stamp && e.hit > 0 {
+		return at, reasonHolder
+	}
+	return at, reasonFree
+}
--- /dev/null
+++ b/internal/route/place/policy.go
@@ -0,0 +1,130 @@
+// Package place chooses an engine for each request.
+//
+// Expected is the router's policy; Random, Least and Hash are the baselines that it is measured against. All of them send
+// requests to live engines, to suspect ones only if no live one is left, and never to one that is leaving or excluded.
+package place
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"quetzalmount.dev/quetzalmount"
+)
+
+// Policy documents a way to place requests.
+type Policy struct {
+	Name string
+	// Knows says what the policy looks at.
+	Knows string
+	// Reasons maps each reason that a decision may carry to its meaning.
+	Reasons map[string]string
+	// New returns a placer with its own state.
+	New func() quetzalmount.Placer
+}
+
+// Reasons of decisions.
+const (
+	reasonRandom = "random"
+	reasonLeast  = "least"
+	reasonHash   = "hash"
+	reasonHolder = "holder"
+	reasonHome   = "home"
+	reasonSpread = "spread"
+	reasonFree   = "free"
+)
+
+// Policies returns all policies, baselines first.
+func Policies() []Policy {
+	return []Policy{
+		{
+			Name: "random", Knows: "which engines take work",
+			Reasons: map[string]string{reasonRandom: "drawn with equal chances"},
+			New:     func() quetzalmount.Placer { return random{} },
+		},
+		{
+			Name: "least", Knows: "reported requests per engine and the own dispatches since the report",
+			Reasons: map[string]string{reasonLeast: "fewest requests; equal ones by lot"},
+			New:     func() quetzalmount.Placer { return newLeast() },
+		},
+		{
+			Name: "hash", Knows: "the prefix that covers half of the prompt",
+			Reasons: map[string]string{reasonHash: "first by rendezvous hash of the prefix"},
+			New:     func() quetzalmount.Placer { return hash{share: HashShare} },
+		},
+		{
+			Name: "expected", Knows: "load reports, own dispatches, first tokens, cache events, recent and hot prefixes",
+			Reasons: map[string]string{
+				reasonHolder: "least expected time to first token, with part of the prompt in the cache",
+				reasonHome:   "first by rendezvous hash, and not much slower than the best",
+				reasonSpread: "one of the homes of a hot prefix",
+				reasonFree:   "least expected time to first token, without any expected hit",
+			},
+			New: func() quetzalmount.Placer { return New(Defaults()) },
+		},
+	}
+}
+
+// tier returns the best state among the engines that may be used, and how many engines have it.
+func tier(engines []*quetzalmount.Endpoint, exclude []quetzalmount.EndpointID) (quetzalmount.MemberState, int) {
+	live, suspect := 0, 0
+	for _, e := range engines {
+		switch {
+		case e.State == quetzalmount.Leaving || excluded(e.ID, exclude):
+		case e.State == quetzalmount.Live:
+			live++
+		case e.State == quetzalmount.Suspect:
+			suspect++
+		}
+	}
+	if live > 0 {
+		return quetzalmount.Live, live
+	}
+	return quetzalmount.Suspect, suspect
+}
+
+// excluded reports whether id is in the list, which has an entry for each failed attempt of one request.
+func excluded(id quetzalmount.EndpointID, list []quetzalmount.EndpointID) bool {
+	for _, x := range list {
+		if x == id {
+			return true
+		}
+	}
+	return false
+}
+
+// usable reports whether an engine has the state of the tier and is not excluded.
+func usable(e *quetzalmount.Endpoint, state quetzalmount.MemberState, exclude []quetzalmount.EndpointID) bool {
+	return e.State == state && !excluded(e.ID, exclude)
+}
+
+// blind is embedded by policies that learn nothing from the fate of requests.
+type blind struct{}
+
+func (blind) Dispatched(*quetzalmount.PlaceRequest, quetzalmount.Decision, time.Time) {}
+func (blind) FirstToken(*quetzalmount.PlaceRequest, quetzalmount.Decision, quetzalmount.Tokens, time.Time) {
+}
+func (blind) Finished(*quetzalmount.PlaceRequest, quetzalmount.Decision, time.Time) {}
+
+// random draws an engine.
+type random struct{ blind }
+
+// Place implements quetzalmount.Placer.
+func (random) Place(
+	r *quetzalmount.PlaceRequest, engines []*quetzalmount.Endpoint, _ time.Time, rnd *rand.Rand,
+) (quetzalmount.Decision, bool) {
+	state, n := tier(engines, r.Exclude)
+	if n == 0 {
+		return quetzalmount.Decision{}, false
+	}
+	pick := rnd.IntN(n)
+	for _, e := range engines {
+		if !usable(e, state, r.Exclude) {
+			continue
+		}
+		if pick == 0 {
+			return quetzalmount.Decision{Endpoint: e, Incarnation: e.Incarnation, Reason: reasonRandom}, true
+		}
+		pick--
+	}
+	return quetzalmount.Decision{}, false
+}
--- a/internal/route/sketch/table.go
+++ b/internal/route/sketch/table.go
@@ -106,7 +106,8 @@
 		}
 		*e = entry{key: key, live: true}
 	}
-	e.used = now
+	// Events carry times in the past, which must not age a prefix that is in use.
+	e.used = max(e.used, now)
 	at := 0
 	for i := range e.holders {
 		h := &e.holders[i]
