--- a/internal/entry/front/chat.go
+++ b/internal/entry/front/chat.go
@@ -14,13 +14,17 @@
 
 // CreateChatCompletion runs a completion and answers it whole or as an event stream.
 func (h *Handler) CreateChatCompletion(
-	ctx context.Context, r *caller.ChatCompletionRequest,
+	ctx context.Context, r *caller.ChatCompletionRequest, p caller.CreateChatCompletionParams,
 ) (caller.CreateChatCompletionRes, error) {
 	c, err := h.newCompletion(ctx, r)
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, h.opts.Request)
+	timeout := h.opts.Request
+	if ms, ok := p.XTimeoutMs.Get(); ok {
+		timeout = min(timeout, time.Duration(ms)*time.Millisecond)
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	run := h.start(ctx, cancel, c)
 	if r.Stream.Or(false) {
 		return h.answerStream(run, c)
@@ -29,7 +33,7 @@
 	return h.answerWhole(run, c)
 }
 
-func (h *Handler) newCompletion(ctx context.Context, r *caller.ChatCompletionRequest) (*Completion, error) {
+func (h *Handler) newCompletion(ctx context.Context, r *caller.ChatCompletionRequest) (*qm.Completion, error) {
 	t, err := team(ctx)
 	if err != nil {
 		return nil, err
@@ -43,7 +47,7 @@
 		return nil, qm.Refuse(qm.CodeNotFound, "find model",
 			"There is no model %q; GET /v1/models lists the models.", r.Model)
 	}
-	c := &Completion{Request: requestID(ctx), Team: t, Model: model, MaxTokens: h.opts.DefaultOutputTokens}
+	c := &qm.Completion{Request: requestID(ctx), Team: t, Model: model, MaxTokens: h.opts.DefaultOutputTokens}
 	if v, ok := r.MaxTokens.Get(); ok {
 		c.MaxTokens = qm.Tokens(v)
 	}
@@ -64,7 +68,7 @@
 	return c, checkPromptLimit(c)
 }
 
-func checkPromptLimit(c *Completion) error {
+func checkPromptLimit(c *qm.Completion) error {
 	limit := c.Team.Limits.MaxPromptTokens
 	if n := qm.EstimateTokens(c.PromptBytes); limit > 0 && n > limit {
 		return qm.Refuse(qm.CodeTooLarge, "check prompt",
@@ -98,7 +102,7 @@
 }
 
 // start runs a completion in the background.
-func (h *Handler) start(ctx context.Context, cancel context.CancelFunc, c *Completion) *completionRun {
+func (h *Handler) start(ctx context.Context, cancel context.CancelFunc, c *qm.Completion) *completionRun {
 	run := &completionRun{Chunks: make(chan qm.Chunk), cancel: cancel, done: make(chan struct{})}
 	go func() {
 		defer close(run.done)
@@ -128,7 +132,7 @@
 }
 
 // complete runs the completion with metrics and a log line for a failure.
-func (h *Handler) complete(ctx context.Context, c *Completion, deliver func(qm.Chunk) error) error {
+func (h *Handler) complete(ctx context.Context, c *qm.Completion, deliver func(qm.Chunk) error) error {
 	start := time.Now()
 	series := h.deps.Meter.Team(c.Team.ID)
 	err := h.deps.Completer.Complete(ctx, c, deliver)
@@ -147,7 +151,7 @@
 	return e
 }
 
-func (h *Handler) answerWhole(run *completionRun, c *Completion) (caller.CreateChatCompletionRes, error) {
+func (h *Handler) answerWhole(run *completionRun, c *qm.Completion) (caller.CreateChatCompletionRes, error) {
 	var text strings.Builder
 	var last qm.Chunk
 	for chunk := range run.Chunks {
@@ -176,11 +180,11 @@
 	return res, nil
 }
 
-func completionID(c *Completion) string { return "chatcmpl-" + string(c.Request) }
+func completionID(c *qm.Completion) string { return "chatcmpl-" + string(c.Request) }
 
 // answerStream waits for the first chunk, so that a refusal still gets its own status, but not longer than a heartbeat, so
 // that the caller sees that the request is alive.
-func (h *Handler) answerStream(run *completionRun, c *Completion) (caller.CreateChatCompletionRes, error) {
+func (h *Handler) answerStream(run *completionRun, c *qm.Completion) (caller.CreateChatCompletionRes, error) {
 	s := newEvents(h, run, c)
 	first := time.NewTimer(h.opts.Heartbeat)
 	defer first.Stop()
--- a/internal/entry/front/events.go
+++ b/internal/entry/front/events.go
@@ -22,7 +22,7 @@
 type events struct {
 	h       *Handler
 	run     *completionRun
-	c       *Completion
+	c       *qm.Completion
 	created int64
 	buf     bytes.Buffer
 	ended   bool
@@ -30,7 +30,7 @@
 
 var _ io.ReadCloser = (*events)(nil)
 
-func newEvents(h *Handler, run *completionRun, c *Completion) *events {
+func newEvents(h *Handler, run *completionRun, c *qm.Completion) *events {
 	return &events{h: h, run: run, c: c, created: time.Now().Unix()}
 }
 
--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -19,24 +19,6 @@
 	"quetzalmount.dev/quetzalmount/internal/wire/caller"
 )
 
-// Completion is a validated completion request.
-type Completion struct {
-	Request  qm.RequestID
-	Team     *qm.Team
-	Model    *qm.Model
-	Messages []qm.Message
-	// PromptBytes is the length of all message texts.
-	PromptBytes int
-	MaxTokens   qm.Tokens
-}
-
-// Completer runs completions.
-type Completer interface {
-	// Complete delivers the chunks of the answer in order and without gaps. It returns an *Error if the answer is not whole. An
-	// error of deliver ends the request.
-	Complete(ctx context.Context, c *Completion, deliver func(qm.Chunk) error) error
-}
-
 // Advisor returns the routers that a team should use, best first.
 type Advisor func(team qm.TeamID, dc qm.DataCentre) []qm.Member
 
@@ -56,7 +38,7 @@
 // Deps are the parts that the handlers use.
 type Deps struct {
 	Board     *board.Board
-	Completer Completer
+	Completer qm.Completer
 	Claims    qm.Claims
 	// Repeat runs calls that may be repeated.
 	Repeat func(ctx context.Context, c *qm.Call) (qm.Result, error)
--- a/internal/entry/front/front_test.go
+++ b/internal/entry/front/front_test.go
@@ -30,14 +30,14 @@
 
 const key = "team-a-key"
 
-type completer func(ctx context.Context, c *front.Completion, deliver func(qm.Chunk) error) error
+type completer func(ctx context.Context, c *qm.Completion, deliver func(qm.Chunk) error) error
 
-func (f completer) Complete(ctx context.Context, c *front.Completion, deliver func(qm.Chunk) error) error {
+func (f completer) Complete(ctx context.Context, c *qm.Completion, deliver func(qm.Chunk) error) error {
 	return f(ctx, c, deliver)
 }
 
 // words answers with three chunks.
-func words(_ context.Context, _ *front.Completion, deliver func(qm.Chunk) error) error {
+func words(_ context.Context, _ *qm.Completion, deliver func(qm.Chunk) error) error {
 	for i, text := range []string{"one ", "two ", "three"} {
 		chunk := qm.Chunk{Number: int64(i), Text: text}
 		if i == 2 {
@@ -174,7 +174,7 @@
 // an error event, and one before it must have a status of its own.
 func TestBrokenStream(t *testing.T) {
 	fail := qm.Fail(qm.CodeEndpoint, "read stream", "scribe-1", errors.New("engine died"))
-	s, _, _ := serve(t, func(_ context.Context, _ *front.Completion, deliver func(qm.Chunk) error) error {
+	s, _, _ := serve(t, func(_ context.Context, _ *qm.Completion, deliver func(qm.Chunk) error) error {
 		if err := deliver(qm.Chunk{Text: "one "}); err != nil {
 			return err
 		}
@@ -183,7 +183,7 @@
 	_, _, body := do(t, s, "POST", "/v1/chat/completions", chat+`,"stream":true}`)
 	golden(t, "broken.txt", body)
 
-	s, _, _ = serve(t, func(context.Context, *front.Completion, func(qm.Chunk) error) error {
+	s, _, _ = serve(t, func(context.Context, *qm.Completion, func(qm.Chunk) error) error {
 		return qm.Refuse(qm.CodeRateLimit, "admit", "Too many requests; wait.").After(1500 * time.Millisecond)
 	}, options())
 	status, header, body := do(t, s, "POST", "/v1/chat/completions", chat+`,"stream":true}`)
@@ -197,7 +197,7 @@
 	opts := options()
 	opts.Heartbeat = 10 * time.Millisecond
 	release := make(chan struct{})
-	s, _, _ := serve(t, func(ctx context.Context, c *front.Completion, deliver func(qm.Chunk) error) error {
+	s, _, _ := serve(t, func(ctx context.Context, c *qm.Completion, deliver func(qm.Chunk) error) error {
 		<-release
 		return words(ctx, c, deliver)
 	}, opts)
@@ -223,7 +223,7 @@
 // TestCallerLeaves guards against completions that go on at the engine after their caller has left.
 func TestCallerLeaves(t *testing.T) {
 	ended := make(chan struct{})
-	s, _, _ := serve(t, func(ctx context.Context, _ *front.Completion, deliver func(qm.Chunk) error) error {
+	s, _, _ := serve(t, func(ctx context.Context, _ *qm.Completion, deliver func(qm.Chunk) error) error {
 		defer close(ended)
 		if err := deliver(qm.Chunk{Text: "one "}); err != nil {
 			return err
--- a/internal/wire/caller/oas_client_gen.go
+++ b/internal/wire/caller/oas_client_gen.go
@@ -30,7 +30,7 @@
 	// CreateChatCompletion invokes createChatCompletion operation.
 	//
 	// POST /v1/chat/completions
-	CreateChatCompletion(ctx context.Context, request *ChatCompletionRequest) (CreateChatCompletionRes, error)
+	CreateChatCompletion(ctx context.Context, request *ChatCompletionRequest, params CreateChatCompletionParams) (CreateChatCompletionRes, error)
 	// GetHealth invokes getHealth operation.
 	//
 	// GET /healthz
@@ -241,12 +241,12 @@
 // CreateChatCompletion invokes createChatCompletion operation.
 //
 // POST /v1/chat/completions
-func (c *Client) CreateChatCompletion(ctx context.Context, request *ChatCompletionRequest) (CreateChatCompletionRes, error) {
-	res, err := c.sendCreateChatCompletion(ctx, request)
+func (c *Client) CreateChatCompletion(ctx context.Context, request *ChatCompletionRequest, params CreateChatCompletionParams) (CreateChatCompletionRes, error) {
+	res, err := c.sendCreateChatCompletion(ctx, request, params)
 	return res, err
 }
 
-func (c *Client) sendCreateChatCompletion(ctx context.Context, request *ChatCompletionRequest) (res CreateChatCompletionRes, err error) {
+func (c *Client) sendCreateChatCompletion(ctx context.Context, request *ChatCompletionRequest, params CreateChatCompletionParams) (res CreateChatCompletionRes, err error) {
 
 	u := uri.Clone(c.requestURL(ctx))
 	var pathParts [1]string
@@ -261,6 +261,22 @@
 		return res, errors.Wrap(err, "encode request")
 	}
 
+	h := uri.NewHeaderEncoder(r.Header)
+	{
+		cfg := uri.HeaderParameterEncodingConfig{
+			Name:    "X-Timeout-Ms",
+			Explode: false,
+		}
+		if err := h.EncodeParam(cfg, func(e uri.Encoder) error {
+			if val, ok := params.XTimeoutMs.Get(); ok {
+				return e.EncodeValue(conv.IntToString(val))
+			}
+			return nil
+		}); err != nil {
+			return res, errors.Wrap(err, "encode header")
+		}
+	}
+
 	{
 		type bitset = [1]uint8
 		var satisfied bitset
--- a/internal/wire/caller/oas_handlers_gen.go
+++ b/internal/wire/caller/oas_handlers_gen.go
@@ -256,6 +256,16 @@
 			return
 		}
 	}
+	params, err := decodeCreateChatCompletionParams(args, argsEscaped, r)
+	if err != nil {
+		err = &ogenerrors.DecodeParamsError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeParams", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
 
 	var rawBody []byte
 	request, rawBody, close, err := s.decodeCreateChatCompletionRequest(r)
@@ -283,13 +293,18 @@
 			OperationID:      "createChatCompletion",
 			Body:             request,
 			RawBody:          rawBody,
-			Params:           middleware.Parameters{},
-			Raw:              r,
+			Params: middleware.Parameters{
+				{
+					Name: "X-Timeout-Ms",
+					In:   "header",
+				}: params.XTimeoutMs,
+			},
+			Raw: r,
 		}
 
 		type (
 			Request  = *ChatCompletionRequest
-			Params   = struct{}
+			Params   = CreateChatCompletionParams
 			Response = CreateChatCompletionRes
 		)
 		response, err = middleware.HookMiddleware[
@@ -299,14 +314,14 @@
 		](
 			m,
 			mreq,
-			nil,
+			unpackCreateChatCompletionParams,
 			func(ctx context.Context, request Request, params Params) (response Response, err error) {
-				response, err = s.h.CreateChatCompletion(ctx, request)
+				response, err = s.h.CreateChatCompletion(ctx, request, params)
 				return response, err
 			},
 		)
 	} else {
-		response, err = s.h.CreateChatCompletion(ctx, request)
+		response, err = s.h.CreateChatCompletion(ctx, request, params)
 	}
 	if err != nil {
 		if errRes, ok := errors.Into[*ErrorStatusCodeWithHeaders](err); ok {
--- a/internal/wire/caller/oas_parameters_gen.go
+++ b/internal/wire/caller/oas_parameters_gen.go
@@ -323,6 +323,93 @@
 	return params, nil
 }
 
+// CreateChatCompletionParams is parameters of createChatCompletion operation.
+type CreateChatCompletionParams struct {
+	XTimeoutMs OptInt `json:",omitempty,omitzero"`
+}
+
+func unpackCreateChatCompletionParams(packed middleware.Parameters) (params CreateChatCompletionParams) {
+	{
+		key := middleware.ParameterKey{
+			Name: "X-Timeout-Ms",
+			In:   "header",
+		}
+		if v, ok := packed[key]; ok {
+			params.XTimeoutMs = v.(OptInt)
+		}
+	}
+	return params
+}
+
+func decodeCreateChatCompletionParams(args [0]string, argsEscaped bool, r *http.Request) (params CreateChatCompletionParams, _ error) {
+	h := uri.NewHeaderDecoder(r.Header)
+	// Decode header: X-Timeout-Ms.
+	if err := func() error {
+		cfg := uri.HeaderParameterDecodingConfig{
+			Name:    "X-Timeout-Ms",
+			Explode: false,
+		}
+		if err := h.HasParam(cfg); err == nil {
+			if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+				var paramsDotXTimeoutMsVal int
+				if err := func() error {
+					val, err := d.DecodeValue()
+					if err != nil {
+						return err
+					}
+
+					c, err := conv.ToInt(val)
+					if err != nil {
+						return err
+					}
+
+					paramsDotXTimeoutMsVal = c
+					return nil
+				}(); err != nil {
+					return err
+				}
+				params.XTimeoutMs.SetTo(paramsDotXTimeoutMsVal)
+				return nil
+			}); err != nil {
+				return err
+			}
+			if err := func() error {
+				if value, ok := params.XTimeoutMs.Get(); ok {
+					if err := func() error {
+						if err := (validate.Int{
+							MinSet:        true,
+							Min:           1,
+							MaxSet:        true,
+							Max:           600000,
+							MinExclusive:  false,
+							MaxExclusive:  false,
+							MultipleOfSet: false,
+							MultipleOf:    0,
+							Pattern:       nil,
+						}).Validate(int64(value)); err != nil {
+							return errors.Wrap(err, "int")
+						}
+						return nil
+					}(); err != nil {
+						return err
+					}
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "X-Timeout-Ms",
+			In:   "header",
+			Err:  err,
+		}
+	}
+	return params, nil
+}
+
 // GetOperationParams is parameters of getOperation operation.
 type GetOperationParams struct {
 	Service   string
--- a/internal/wire/caller/oas_router_gen.go
+++ b/internal/wire/caller/oas_router_gen.go
@@ -12,7 +12,7 @@
 
 var (
 	rn6AllowedHeaders = map[string]string{
-		"POST": "Authorization,Content-Type",
+		"POST": "Authorization,Content-Type,X-Timeout-Ms",
 	}
 	rn13AllowedHeaders = map[string]string{
 		"GET": "Authorization",
--- a/internal/wire/caller/oas_server_gen.go
+++ b/internal/wire/caller/oas_server_gen.go
@@ -17,7 +17,7 @@
 	// CreateChatCompletion implements createChatCompletion operation.
 	//
 	// POST /v1/chat/completions
-	CreateChatCompletion(ctx context.Context, req *ChatCompletionRequest) (CreateChatCompletionRes, error)
+	CreateChatCompletion(ctx context.Context, req *ChatCompletionRequest, params CreateChatCompletionParams) (CreateChatCompletionRes, error)
 	// GetHealth implements getHealth operation.
 	//
 	// GET /healthz
--- a/internal/wire/caller/oas_unimplemented_gen.go
+++ b/internal/wire/caller/oas_unimplemented_gen.go
@@ -24,7 +24,7 @@
 // CreateChatCompletion implements createChatCompletion operation.
 //
 // POST /v1/chat/completions
-func (UnimplementedHandler) CreateChatCompletion(ctx context.Context, req *ChatCompletionRequest) (r CreateChatCompletionRes, _ error) {
+func (UnimplementedHandler) CreateChatCompletion(ctx context.Context, req *ChatCompletionRequest, params CreateChatCompletionParams) (r CreateChatCompletionRes, _ error) {
 	return r, ht.ErrNotImplemented
 }
 
--- a/ports.go
+++ b/ports.go
@@ -218,3 +218,21 @@
 	// Cancel tells the engine to drop a request.
 	Cancel(ctx context.Context, e *Endpoint, id RequestID) error
 }
+
+// Completion is a validated completion request.
+type Completion struct {
+	Request  RequestID
+	Team     *Team
+	Model    *Model
+	Messages []Message
+	// PromptBytes is the length of all message texts.
+	PromptBytes int
+	MaxTokens   Tokens
+}
+
+// Completer runs completions.
+type Completer interface {
+	// Complete delivers the chunks of the answer in order and without gaps. It returns an *Error if the answer is not whole. An
+	// error of deliver ends the request.
+	Complete(ctx context.Context, c *Completion, deliver func(Chunk) error) error
+}
