--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -27,7 +27,7 @@
 		Usage: "fakes of the outside systems, for tests and the demo",
 		Commands: []*cli.Command{
 			logCommand(), listCommand(), engineCommand(), serviceCommand(), weightsCommand(), cacheCommand(),
-			loadCommand(),
+			loadCommand(), reportCommand(),
 		},
 	}
 }
--- a/internal/standin/loadgn/loadgn.go
+++ b/internal/standin/loadgn/loadgn.go
@@ -51,7 +51,9 @@
 	// Short counts streams that ended early without an error, Wrong those whose text was not the expected one.
 	Short, Wrong int64
 	// Retried counts requests that the caller sent again.
-	Retried          int64
+	Retried int64
+	// Prompt and Cached are the tokens of all prompts and those that the engines had cached; HitRate is their ratio.
+	Prompt, Cached   int64
 	HitRate          float64
 	TTFTP50, TTFTP99 float64
 	// Recomputed is the prompt tokens of prefixes sent before that no engine had cached where the request ran.
@@ -145,9 +147,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.sum
-	if r.prompt > 0 {
-		s.HitRate = float64(r.cached) / float64(r.prompt)
-	}
+	s.Prompt, s.Cached = r.prompt, r.cached
+	s.setHitRate()
 	s.TTFTP50 = millis(r.firstToken.ValueAtQuantile(50))
 	s.TTFTP99 = millis(r.firstToken.ValueAtQuantile(99))
 	s.ByTeam = make(map[string]float64)
