Admit plain calls under their team's limits and advise members instead of addresses

Cause: a script that hammers a plain service went past the request limit, and callers could not see the data centre of an advised address. Ruled out: admitting inside the claims, which would claim keys of refused calls. Figures: a call above the limit is refused with 429 and NotRun before any claim (front test).

--- a/internal/entry/front/calls.go
+++ b/internal/entry/front/calls.go
@@ -23,7 +23,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, h.callTimeout(c.Service, p))
 	defer cancel()
-	r, err := h.run(ctx, c)
+	r, err := h.admitAndRun(ctx, c)
 	series := h.deps.Meter.Team(c.Team)
 	if err != nil {
 		e := qm.AsError(err)
@@ -72,6 +72,20 @@
 	return svc, nil
 }
 
+// admitAndRun runs a call under the limits of its team.
+func (h *Handler) admitAndRun(ctx context.Context, c *qm.Call) (qm.Result, error) {
+	t, err := team(ctx)
+	if err != nil {
+		return qm.Result{}, err
+	}
+	grant, err := h.deps.Limiter.Admit(t, qm.Cost{}, time.Now())
+	if err != nil {
+		return qm.Result{}, err
+	}
+	defer grant.Release(0)
+	return h.run(ctx, c)
+}
+
 // run sends calls that may be repeated straight to the service and all others through the claims.
 func (h *Handler) run(ctx context.Context, c *qm.Call) (qm.Result, error) {
 	if c.Service.IsRepeatable(c.Name) {
--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -15,12 +15,13 @@
 
 	qm "quetzalmount.dev/quetzalmount"
 	"quetzalmount.dev/quetzalmount/internal/infra/meter"
+	"quetzalmount.dev/quetzalmount/internal/member/advice"
 	"quetzalmount.dev/quetzalmount/internal/state/board"
 	"quetzalmount.dev/quetzalmount/internal/wire/caller"
 )
 
-// Advisor returns the routers that a team should use, best first.
-type Advisor func(team qm.TeamID, dc qm.DataCentre) []qm.Member
+// Advisor returns the addresses that a team should use.
+type Advisor func(team qm.TeamID, dc qm.DataCentre) advice.Answer
 
 // Options configure the handlers.
 type Options struct {
@@ -32,7 +33,6 @@
 	// Request is the deadline of a request that names none, Heartbeat the time between comments of a waiting stream, and
 	// WriteStall the time after which a caller that takes no data is disconnected.
 	Request, Heartbeat, WriteStall time.Duration
-	AdviceValidity                 time.Duration
 }
 
 // Deps are the parts that the handlers use.
@@ -40,6 +40,7 @@
 	Board     *board.Board
 	Completer qm.Completer
 	Claims    qm.Claims
+	Limiter   qm.Limiter
 	// Repeat runs calls that may be repeated.
 	Repeat func(ctx context.Context, c *qm.Call) (qm.Result, error)
 	Advise Advisor
--- a/internal/entry/front/front_test.go
+++ b/internal/entry/front/front_test.go
@@ -23,6 +23,7 @@
 	qm "quetzalmount.dev/quetzalmount"
 	"quetzalmount.dev/quetzalmount/internal/entry/front"
 	"quetzalmount.dev/quetzalmount/internal/infra/meter"
+	"quetzalmount.dev/quetzalmount/internal/member/advice"
 	"quetzalmount.dev/quetzalmount/internal/state/board"
 )
 
@@ -61,19 +62,34 @@
 	return qm.Result{Operation: op, Outcome: qm.Unknown}, nil
 }
 
+// limiter refuses calls of teams named "limited".
+type limiter struct{}
+
+func (limiter) Admit(t *qm.Team, _ qm.Cost, _ time.Time) (qm.Grant, error) {
+	if t.ID == "limited" {
+		return nil, qm.Refuse(qm.CodeRateLimit, "admit", "Too many requests.").After(time.Second)
+	}
+	return limiter{}, nil
+}
+
+func (limiter) Release(qm.Tokens) {}
+
 func options() front.Options {
 	return front.Options{
 		Instance: "entry-1", DataCentre: "dub-a", MaxBodyBytes: 4096, DefaultOutputTokens: 16, Request: 5 * time.Second,
-		Heartbeat: 2 * time.Second, WriteStall: time.Second, AdviceValidity: 10 * time.Second,
+		Heartbeat: 2 * time.Second, WriteStall: time.Second,
 	}
 }
 
 func config() *qm.Config {
-	hash := qm.KeyHash(sha256.Sum256([]byte(key)))
+	hash, limited := qm.KeyHash(sha256.Sum256([]byte(key))), qm.KeyHash(sha256.Sum256([]byte("limited-key")))
 	return &qm.Config{
-		Offset:   7,
-		Teams:    map[qm.TeamID]*qm.Team{"a": {ID: "a", Key: hash, Weight: 1, Limits: qm.Limits{MaxPromptTokens: 100}}},
-		Keys:     map[qm.KeyHash]qm.TeamID{hash: "a"},
+		Offset: 7,
+		Teams: map[qm.TeamID]*qm.Team{
+			"a":       {ID: "a", Key: hash, Weight: 1, Limits: qm.Limits{MaxPromptTokens: 100}},
+			"limited": {ID: "limited", Key: limited, Weight: 1},
+		},
+		Keys:     map[qm.KeyHash]qm.TeamID{hash: "a", limited: "limited"},
 		Models:   map[qm.ModelID]*qm.Model{"m": {ID: "m", Group: "g", Version: "v1"}},
 		Services: map[qm.ServiceID]*qm.Service{"tally": {ID: "tally", Repeatable: []string{"status"}}},
 	}
@@ -89,9 +105,11 @@
 		Repeat: func(_ context.Context, call *qm.Call) (qm.Result, error) {
 			return qm.Result{Operation: "r", Outcome: qm.Done, Status: 200, Answer: call.Body}, nil
 		},
-		Advise: func(qm.TeamID, qm.DataCentre) []qm.Member {
-			return []qm.Member{{Instance: "entry-2", Address: "127.0.0.1:2", DataCentre: "dub-a"}}
+		Advise: func(qm.TeamID, qm.DataCentre) advice.Answer {
+			m := qm.Members{{Instance: "entry-2", Address: "127.0.0.1:2", DataCentre: "dub-a"}}
+			return advice.Answer{Members: m, Validity: 10 * time.Second}
 		},
+		Limiter: limiter{},
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -294,7 +312,12 @@
 			t.Errorf("%s: status = %d, body %s, %d claims, want %d", path, status, body, cl.runs, runs)
 		}
 	}
-	status, _, body := do(t, s, "GET", "/v1/services/tally/operations/op-9", "")
+	cl.runs = 0
+	status, _, body := do(t, s, "POST", "/v1/services/tally/calls/post", "{}", "Authorization", "Bearer limited-key")
+	if status != 429 || cl.runs != 0 || !strings.Contains(body, `"NotRun"`) {
+		t.Errorf("call above the limit: status = %d, body %s, %d claims", status, body, cl.runs)
+	}
+	status, _, body = do(t, s, "GET", "/v1/services/tally/operations/op-9", "")
 	if status != 200 || !strings.Contains(body, `"Unknown"`) {
 		t.Errorf("lookup: status = %d, body %s", status, body)
 	}
--- a/internal/entry/front/info.go
+++ b/internal/entry/front/info.go
@@ -29,8 +29,9 @@
 	if err != nil {
 		return nil, err
 	}
-	list := &caller.EntryList{Entries: []caller.Entry{}, ValidSeconds: max(1, int(h.opts.AdviceValidity.Seconds()))}
-	for _, m := range h.deps.Advise(t.ID, h.opts.DataCentre) {
+	answer := h.deps.Advise(t.ID, h.opts.DataCentre)
+	list := &caller.EntryList{Entries: []caller.Entry{}, ValidSeconds: max(1, int(answer.Validity.Seconds()))}
+	for _, m := range answer.Members {
 		list.Entries = append(list.Entries, caller.Entry{
 			Address: m.Address, Instance: string(m.Instance), DataCentre: string(m.DataCentre),
 		})
--- a/internal/member/advice/advice.go
+++ b/internal/member/advice/advice.go
@@ -32,9 +32,18 @@
 
 // Answer is an advice.
 type Answer struct {
-	// Addresses are in order of preference, each host:port.
-	Addresses []string
-	Validity  time.Duration
+	// Members are in order of preference.
+	Members  qm.Members
+	Validity time.Duration
+}
+
+// Addresses returns the callers' addresses of the members, each host:port.
+func (a Answer) Addresses() []string {
+	out := make([]string, 0, len(a.Members))
+	for _, m := range a.Members {
+		out = append(out, m.Address)
+	}
+	return out
 }
 
 // Adviser gives advice from the members on the board.
@@ -68,11 +77,7 @@
 	if len(ordered) == 0 {
 		ordered = head(Rank(team, rest), a.opts.PerRegion)
 	}
-	out := Answer{Validity: a.opts.Validity, Addresses: make([]string, 0, len(ordered))}
-	for _, m := range ordered {
-		out.Addresses = append(out.Addresses, m.Address)
-	}
-	return out
+	return Answer{Validity: a.opts.Validity, Members: ordered}
 }
 
 // place returns dc and its region, or those of this router if no member is in dc.
--- a/internal/member/advice/advice_test.go
+++ b/internal/member/advice/advice_test.go
@@ -83,11 +83,11 @@
 			}
 			b.Members.Store(m)
 			b.Leaving.Store(c.leaving)
-			got := advice.New(b, advice.Options{Validity: time.Second}).For("ledger", c.dc)
+			got := advice.New(b, advice.Options{Validity: time.Second}).For("ledger", c.dc).Addresses()
 			if c.dc == "b" {
-				slices.Sort(got.Addresses[1:])
+				slices.Sort(got[1:])
 			}
-			if d := cmp.Diff(c.want, got.Addresses); d != "" {
+			if d := cmp.Diff(c.want, got); d != "" {
 				t.Error(d)
 			}
 		})
