Set the rate of claim appends instead of an interval

Cause: claims pace their appends by a rate over all streams; the interval for each stream had no reader. Ruled out: an interval for each of eight streams, which idle streams would waste. Figures: 48 appends/s on each of six instances stay under 300 appends/s. Conclusion: one key, with the default of the claims.

--- a/internal/infra/conf/conf.go
+++ b/internal/infra/conf/conf.go
@@ -28,7 +28,8 @@
 
 	LogAddress   string
 	LogRetention time.Duration
-	CommitEvery  time.Duration
+	// AppendsPerSecond bounds the appends of claims.
+	AppendsPerSecond float64
 
 	ListAddress string
 	ListEvery   time.Duration
@@ -93,9 +94,9 @@
 		duration("Log", "Retention", "24h", time.Second, 365*24*time.Hour,
 			"How long the log service keeps records. Live state is appended again at half of it.",
 			func(s *Settings) *time.Duration { return &s.LogRetention }),
-		duration("Log", "CommitEvery", "150ms", time.Millisecond, 10*time.Second,
-			"Shortest time between two appends of this instance to one claims stream.",
-			func(s *Settings) *time.Duration { return &s.CommitEvery }),
+		numeric("Log", "AppendsPerSecond", "48", 0.1, 100000,
+			"Most appends a second of this instance for calls that must not run twice; all instances share the log's rate.",
+			func(s *Settings) *float64 { return &s.AppendsPerSecond }),
 		address("List", "Address", "127.0.0.1:7002", "Address of the platform's instance list.",
 			func(s *Settings) *string { return &s.ListAddress }),
 		duration("List", "Every", "1s", 10*time.Millisecond, time.Hour, "Time between two reads of the instance list.",
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -57,8 +57,8 @@
 deploy() {
 	local name=$1 base=$2 region=$3 group=$4 model=$5 version=$6 engines=$7 service=$8 services=$9 store=${10}
 	shift 10
-	local centres=("$@") list="$work/$name-list.json" first=1 i
-	local sep='[' fence=()
+	local centres=("$@") list="$work/$name-list.json" i
+	local sep='{"Instances":[' fence=()
 	[ "$name" = ledgerwell ] && fence=(--fence)
 	{
 		for i in $(seq 1 "$engines"); do printf '%s' "$sep"; entry "$group-$i" Engine "$group" $((base + 100 + i)) "${centres[i % ${#centres[@]}]}" "$region"; sep=','; done
@@ -66,7 +66,7 @@
 		for i in $(seq 1 6); do printf ','; entry "$name-entry-$i" Router "" $((base + 300 + i)) "${centres[i % ${#centres[@]}]}" "$region" $((base + 500 + i)) $((base + 400 + i)); done
 		printf ','; entry "$store" Cache "" $((base + 4)) "${centres[0]}" "$region"
 		printf ','; entry "$name-weights" Weights "" $((base + 3)) "${centres[0]}" "$region"
-		printf ']'
+		printf ']}'
 	} >"$list"
 	start "$name-log" bin/standin log --addr "127.0.0.1:$((base + 1))" --rate 300
 	start "$name-list" bin/standin list --addr "127.0.0.1:$((base + 2))" --file "$list" --lag 2s
