Add the streams from engine to caller with resume and continuation

Cause: a stream must reach the caller complete and in order, or end with a typed error, whatever happens to its connection or its engine.

A stream resumes on a fresh connection after a gap, a stall, a lost or a crossed connection, and moves to another engine when the incarnation is gone or cannot be reached and the model can continue. A first chunk that is late is asked for once more over a fresh connection before the request moves, because a stalled connection costs no computing and a move does.

Ruled out: counting resumes and moves against the budget without telling them apart; the budget function gets the kind, so that its owner can charge a resume less. Ruled out: treating a repeated chunk as a fault; it is dropped, and only more than 16 in a row give the connection up.

--- /dev/null
+++ b/internal/route/stream/loop_test.go
@@ -0,0 +1,183 @@
+package stream_test
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/pkg/errors"
+	"pgregory.net/rapid"
+
+	qm "quetzalmount.dev/quetzalmount"
+	"quetzalmount.dev/quetzalmount/internal/client/engine"
+	"quetzalmount.dev/quetzalmount/internal/client/pool"
+	"quetzalmount.dev/quetzalmount/internal/route/stream"
+	"quetzalmount.dev/quetzalmount/internal/standin/engsrv"
+)
+
+// rig is a number of engines on loopback and a Streamer.
+type rig struct {
+	engines   []*engsrv.Server
+	servers   []*httptest.Server
+	endpoints []*qm.Endpoint
+	client    *engine.Client
+	streamer  *stream.Streamer
+}
+
+// newRig starts engines. Stalls are noticed after 40 ms; a busy machine only makes the streams resume more often.
+func newRig(n int) *rig {
+	r := &rig{client: engine.New(pool.Options{})}
+	for i := range n {
+		s := engsrv.New(engsrv.Options{Model: "m", DecodePerToken: 50 * time.Microsecond, CapacityBlocks: 10, QueueLength: 8})
+		h := httptest.NewServer(s.Handler())
+		r.engines, r.servers = append(r.engines, s), append(r.servers, h)
+		r.endpoints = append(r.endpoints, &qm.Endpoint{ID: qm.EndpointID(fmt.Sprint("e", i)), Address: strings.TrimPrefix(h.URL, "http://")})
+	}
+	r.streamer = stream.New(r.client, stream.Options{FirstToken: 2 * time.Second, Progress: 40 * time.Millisecond, Resumes: 10, Moves: 20, Backoff: time.Microsecond})
+	return r
+}
+
+func (r *rig) close() {
+	_ = r.streamer.Close()
+	_ = r.client.Close()
+	for i, h := range r.servers {
+		h.CloseClientConnections()
+		_ = r.engines[i].Close()
+		h.Close()
+	}
+}
+
+func prompt(name string) *qm.EngineRequest {
+	return &qm.EngineRequest{Request: "r", Model: "m", MaxTokens: 40, Messages: []qm.Message{{Role: "user", Content: name}}}
+}
+
+// run delivers a request and returns the text. An engine that is excluded is used again once all are.
+func (r *rig) run(ctx context.Context, req *qm.EngineRequest, cont bool, each func(qm.Chunk)) (string, stream.Summary, error) {
+	var got strings.Builder
+	first := placer(r.endpoints...)
+	sum, err := r.streamer.Run(ctx, &stream.Request{
+		Engine: req, Continue: cont, Budget: func(stream.Kind) bool { return true },
+		Place: func(ctx context.Context, exclude []qm.EndpointID) (qm.Decision, error) {
+			return first(ctx, exclude[len(exclude)/len(r.endpoints)*len(r.endpoints):])
+		},
+		Deliver: func(c qm.Chunk) error {
+			got.WriteString(c.Text)
+			if each != nil {
+				each(c)
+			}
+			return nil
+		},
+	})
+	return got.String(), sum, err
+}
+
+func fault(kind string, after int64) engsrv.ConnFault {
+	return engsrv.ConnFault{Kind: kind, After: after}
+}
+
+// TestFaultsOverLoopback guards against answers that differ from those of an undisturbed engine after one or two faults.
+func TestFaultsOverLoopback(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults []engsrv.ConnFault
+	}{
+		{"stall", []engsrv.ConnFault{fault(engsrv.FaultStall, 5)}},
+		{"stall before the first chunk sent", []engsrv.ConnFault{fault(engsrv.FaultTruncate, 5), fault(engsrv.FaultStall, 0)}},
+		{"truncate", []engsrv.ConnFault{fault(engsrv.FaultTruncate, 5)}},
+		{"duplicate", []engsrv.ConnFault{fault(engsrv.FaultDuplicate, 5)}},
+		{"skip", []engsrv.ConnFault{fault(engsrv.FaultSkip, 5)}},
+		{"crossed from the start", []engsrv.ConnFault{fault(engsrv.FaultCrossed, 0)}},
+		{"crossed in the middle", []engsrv.ConnFault{fault(engsrv.FaultCrossed, 5)}},
+		{"crash", []engsrv.ConnFault{fault(engsrv.FaultCrash, 5)}},
+		{"skip after a truncated stream", []engsrv.ConnFault{fault(engsrv.FaultTruncate, 3), fault(engsrv.FaultSkip, 4)}},
+		{"crash after a crossed answer", []engsrv.ConnFault{fault(engsrv.FaultCrossed, 0), fault(engsrv.FaultCrash, 3)}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newRig(2)
+			defer r.close()
+			r.engines[0].SetFaults(engsrv.Faults{Connections: tt.faults})
+			req := prompt("long answer 1")
+			got, sum, err := r.run(context.Background(), req, true, nil)
+			if diff := cmp.Diff(engsrv.Text(req.Messages, 40), got); diff != "" || err != nil {
+				t.Errorf("Run() = %+v, %v, (-want +got):\n%s", sum, err, diff)
+			}
+			if left := len(r.engines[0].Faults().Connections); left > 0 || sum.Resumes+sum.Moves+sum.Repeats == 0 {
+				t.Errorf("%d faults were not met, recoveries %+v", left, sum)
+			}
+		})
+	}
+}
+
+// TestDeadEngineAndStall guards against a request that stays with an engine whose process is gone, while the engine that
+// takes over stalls its open connections.
+func TestDeadEngineAndStall(t *testing.T) {
+	r := newRig(2)
+	defer r.close()
+	r.engines[0].SetFaults(engsrv.Faults{Slow: 40})
+	req := prompt("long answer 2")
+	got, sum, err := r.run(context.Background(), req, true, func(c qm.Chunk) {
+		switch c.Number {
+		case 5:
+			r.servers[0].Listener.Close()
+			r.servers[0].CloseClientConnections()
+			r.engines[1].SetFaults(engsrv.Faults{Slow: 40})
+		case 15:
+			r.engines[1].SetFaults(engsrv.Faults{Stall: true})
+		}
+	})
+	if diff := cmp.Diff(engsrv.Text(req.Messages, 40), got); diff != "" || err != nil || sum.Moves < 1 || sum.Resumes < 1 {
+		t.Errorf("Run() = %+v, %v, want a move and a resume, (-want +got):\n%s", sum, err, diff)
+	}
+}
+
+// TestCancelReachesEngine guards against engines that go on computing for a caller who is gone.
+func TestCancelReachesEngine(t *testing.T) {
+	r := newRig(1)
+	r.engines[0].SetFaults(engsrv.Faults{Slow: 1000}) // 50 ms a chunk, so that the request cannot end by itself soon
+	ctx, cancel := context.WithCancel(context.Background())
+	_, _, err := r.run(ctx, prompt("long answer 3"), true, func(qm.Chunk) { cancel() })
+	checkEnd(t, err, qm.CodeTimeout, qm.Unknown)
+	_ = r.streamer.Close()
+	for r.engines[0].Stats().Open > 0 { // ends by the cancellation, or the test times out
+		time.Sleep(time.Millisecond)
+	}
+	if n := r.engines[0].Stats().Requests; n != 1 {
+		t.Errorf("engine took %d requests, want 1", n)
+	}
+	r.streamer = stream.New(r.client, stream.Options{})
+	r.close()
+}
+
+// TestRandomFaults guards against combinations of faults that the tables above do not name. Whatever happens, the text
+// delivered is the start of the right answer, and all of it if there is no error. rapid prints the seed of a failure.
+func TestRandomFaults(t *testing.T) {
+	kinds := rapid.SampledFrom([]string{"", engsrv.FaultStall, engsrv.FaultTruncate, engsrv.FaultDuplicate, engsrv.FaultSkip, engsrv.FaultCrossed, engsrv.FaultCrash})
+	connFault := rapid.Custom(func(t *rapid.T) engsrv.ConnFault {
+		return engsrv.ConnFault{Kind: kinds.Draw(t, "kind"), After: rapid.Int64Range(0, 20).Draw(t, "after")}
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		r := newRig(rapid.IntRange(1, 3).Draw(t, "engines"))
+		defer r.close()
+		for i, e := range r.engines {
+			e.SetFaults(engsrv.Faults{Connections: rapid.SliceOfN(connFault, 0, 4).Draw(t, fmt.Sprint("faults of ", i))})
+		}
+		cont := rapid.Bool().Draw(t, "continue")
+		req := prompt(rapid.StringN(1, 8, 16).Draw(t, "prompt"))
+		want := engsrv.Text(req.Messages, 40)
+		got, sum, err := r.run(context.Background(), req, cont, nil)
+		var e *qm.Error
+		switch {
+		case !strings.HasPrefix(want, got):
+			t.Fatalf("Run() = %+v, %v, (-want +got):\n%s", sum, err, cmp.Diff(want, got))
+		case err == nil && got != want:
+			t.Fatalf("Run() = %+v without an error, %d of %d bytes", sum, len(got), len(want))
+		case err != nil && (cont || !errors.As(err, &e)):
+			t.Fatalf("Run() = %+v, %v, want no error since the faults end", sum, err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/route/stream/stream_test.go
@@ -0,0 +1,119 @@
+package stream_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/pkg/errors"
+
+	qm "quetzalmount.dev/quetzalmount"
+	"quetzalmount.dev/quetzalmount/internal/route/stream"
+)
+
+const length = 6
+
+// TestRun guards against streams with a gap or a repeat, against streams that end without an error before their last chunk,
+// and against recoveries that the model or the budget does not allow.
+func TestRun(t *testing.T) {
+	tests := []struct {
+		name     string
+		links    map[qm.EndpointID][]link
+		final    bool // the model cannot continue
+		budget   int
+		patience time.Duration // of the caller, 0 for no limit
+		deaf     int64         // the caller goes away at this chunk, 0 for never
+
+		chunks  int64
+		code    qm.Code // empty if the stream finishes
+		outcome qm.Outcome
+		log     string
+		took    time.Duration // exact, where the fault is a wait; the backoff is off
+	}{
+		{name: "undisturbed", chunks: 6, log: "start a 0"},
+		{name: "stall", links: map[qm.EndpointID][]link{"a": {{stall: true, n: 2}}}, budget: 1, chunks: 6,
+			log: "start a 0, resume a 2", took: 2*time.Second + 6*time.Millisecond},
+		{name: "stall on two connections", links: map[qm.EndpointID][]link{"a": {{stall: true, n: 2}, {stall: true}}}, budget: 2, chunks: 6,
+			log: "start a 0, resume a 2, resume a 2", took: 4*time.Second + 6*time.Millisecond},
+		{name: "gap", links: map[qm.EndpointID][]link{"a": {{skip: true, n: 3}}}, budget: 1, chunks: 6, log: "start a 0, resume a 3"},
+		{name: "repeats without end", links: map[qm.EndpointID][]link{"a": {{repeat: true, n: 3}}}, budget: 1, chunks: 6, log: "start a 0, resume a 3"},
+		{name: "lost connection and no budget", links: map[qm.EndpointID][]link{"a": {{end: true, n: 3}}}, chunks: 3,
+			code: qm.CodeEndpoint, outcome: qm.Unknown, log: "start a 0, cancel a"},
+		{name: "dead engine", links: map[qm.EndpointID][]link{"a": {{end: true, n: 3}, {err: errDead}}}, budget: 2, chunks: 6,
+			log: "start a 0, resume a 3, start b 3, cancel a"},
+		{name: "dead engine, answer cannot be continued", links: map[qm.EndpointID][]link{"a": {{end: true, n: 3}, {err: errDead}, {err: errDead}, {err: errDead}}}, budget: 9, final: true, chunks: 3,
+			code: qm.CodeEndpoint, outcome: qm.Unknown, log: "start a 0, resume a 3, resume a 3, resume a 3, cancel a"},
+		{name: "dead engine before the first chunk", links: map[qm.EndpointID][]link{"a": {{end: true}, {err: errDead}}}, budget: 2, final: true, chunks: 6,
+			log: "start a 0, resume a 0, start b 0, cancel a"},
+		{name: "new incarnation at the same address", links: map[qm.EndpointID][]link{"a": {{end: true, n: 3}, {err: errGone}}}, budget: 2, chunks: 6,
+			log: "start a 0, resume a 3, start a 3"},
+		{name: "lost answer to the start", links: map[qm.EndpointID][]link{"a": {{err: errBreak}}}, budget: 1, chunks: 6, log: "start a 0, resume a 0"},
+		{name: "full queue", links: map[qm.EndpointID][]link{"a": {{err: errFull}}}, budget: 1, chunks: 6, log: "start a 0, start b 0"},
+		{name: "full queues", links: map[qm.EndpointID][]link{"a": {{err: errFull}}, "b": {{err: errFull}}}, budget: 5,
+			code: qm.CodeQueueFull, outcome: qm.NotRun, log: "start a 0, start b 0"},
+		{name: "full queue and no budget", links: map[qm.EndpointID][]link{"a": {{err: errFull}}}, code: qm.CodeQueueFull, outcome: qm.NotRun, log: "start a 0"},
+		{name: "first token late", links: map[qm.EndpointID][]link{"a": {{delay: time.Minute}, {delay: time.Minute}}}, budget: 2, chunks: 6,
+			log: "start a 0, resume a 0, start b 0, cancel a", took: 12*time.Second + 6*time.Millisecond},
+		{name: "stall and dead engine", links: map[qm.EndpointID][]link{"a": {{stall: true, n: 1}, {err: errDead}}, "b": {{end: true, n: 2}}}, budget: 3, chunks: 6,
+			log: "start a 0, resume a 1, start b 1, cancel a, resume b 3"},
+		{name: "caller's deadline", links: map[qm.EndpointID][]link{"a": {{stall: true, n: 1}}}, budget: 5, patience: time.Second, chunks: 1,
+			code: qm.CodeTimeout, outcome: qm.Unknown, log: "start a 0, cancel a", took: time.Second},
+		{name: "caller gone", budget: 5, deaf: 2, chunks: 2, code: qm.CodeEndpoint, outcome: qm.Unknown, log: "start a 0, cancel a"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fakeClient{length: length, links: tt.links}
+				s := stream.New(f, stream.Options{Backoff: 1}) // waits of a few nanoseconds, rounded away below
+				ctx := context.Background()
+				if tt.patience > 0 {
+					var cancel context.CancelFunc
+					ctx, cancel = context.WithTimeout(ctx, tt.patience)
+					defer cancel()
+				}
+				var got strings.Builder
+				begin := time.Now()
+				sum, err := s.Run(ctx, &stream.Request{
+					Engine: &qm.EngineRequest{Request: "r"}, Continue: !tt.final, Budget: budget(tt.budget),
+					Place: placer(&qm.Endpoint{ID: "a"}, &qm.Endpoint{ID: "b"}),
+					Deliver: func(c qm.Chunk) error {
+						if tt.deaf > 0 && c.Number == tt.deaf {
+							return errors.New("closed")
+						}
+						got.WriteString(c.Text)
+						return nil
+					},
+				})
+				took := time.Since(begin).Truncate(time.Millisecond)
+				_ = s.Close()
+				if diff := cmp.Diff(text(tt.chunks), got.String()); diff != "" || sum.Chunks != tt.chunks {
+					t.Errorf("%d chunks delivered (-want +got):\n%s", sum.Chunks, diff)
+				}
+				if diff := cmp.Diff(tt.log, strings.Join(f.log, ", ")); diff != "" {
+					t.Errorf("calls (-want +got):\n%s", diff)
+				}
+				if tt.took != 0 && took != tt.took {
+					t.Errorf("took %v, want %v", took, tt.took)
+				}
+				checkEnd(t, err, tt.code, tt.outcome)
+			})
+		})
+	}
+}
+
+func checkEnd(t *testing.T, err error, code qm.Code, outcome qm.Outcome) {
+	t.Helper()
+	if code == "" {
+		if err != nil {
+			t.Errorf("Run() error = %v", err)
+		}
+		return
+	}
+	var e *qm.Error
+	if !errors.As(err, &e) || e.Code != code || e.Outcome != outcome || e.Step == "" {
+		t.Errorf("Run() error = %#v, want code %s and outcome %s", err, code, outcome)
+	}
+}
