Add limits over all instances with floors and lent tokens

Loans are counts of tokens that must be spent within a lease, not rates: a count is gone when it is spent, so that nothing has to be taken back, and the level of the home's bucket plus unspent loans never exceeds its burst. With a rate of (amount - burst)/60 no minute admits more than the limit, also over a restart or a change of the home. Sliding windows were ruled out because a new home knows nothing of its predecessor's last minute.

The default is 1/10.

--- /dev/null
+++ b/internal/limit/share/state_test.go
@@ -0,0 +1,306 @@
+package share
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+
+	qm "quetzalmount.dev/quetzalmount"
+	"quetzalmount.dev/quetzalmount/internal/state/board"
+	"quetzalmount.dev/quetzalmount/internal/wire/peerpb"
+)
+
+// alone returns a limiter that is the only member, and thus the home of every team.
+func alone(t testing.TB, teams ...*qm.Team) *Limiter {
+	b := board.New()
+	b.Members.Store(qm.Members{{Instance: "r1", State: qm.Live, Self: true}})
+	cfg := &qm.Config{Offset: 1, Teams: map[qm.TeamID]*qm.Team{}}
+	for _, tm := range teams {
+		cfg.Teams[tm.ID] = tm
+	}
+	b.Table.Store(cfg)
+	return New(t.Context(), Options{Board: b, Self: "r1"})
+}
+
+func admits(l *Limiter, tm *qm.Team, n int) (ok int) {
+	for range n {
+		if _, err := l.Admit(tm, qm.Cost{}, time.Now()); err == nil {
+			ok++
+		}
+	}
+	return ok
+}
+
+// TestPausedHome guards against a process that was stopped for a while, during which another instance became home, and
+// that goes on to spend and lend what it had before.
+func TestPausedHome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tm := &qm.Team{ID: "a", Limits: qm.Limits{RequestsPerMinute: 600}}
+		l := alone(t, tm)
+		defer l.Close()
+		time.Sleep(time.Minute)
+		ask := &peerpb.BorrowRequest{Instance: "r2", Wants: []*peerpb.BorrowItem{{Team: "a", Dimension: "Requests", Units: 5}}}
+		lent := func() float64 {
+			r, err := l.Lend(t.Context(), ask)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return r.GetGranted()[0].GetUnits()
+		}
+		if got := lent(); got != 5 {
+			t.Fatalf("a home with a full bucket lent %v of 5", got)
+		}
+		floor := 2 // 600 x 0.1 / 6 a minute, a quarter of it at once
+		// The process stops after a tick and runs on ten seconds later, before its loop does.
+		l.beat.Store(int64(l.now() - 10*time.Second))
+		if got := lent(); got != 0 {
+			t.Errorf("lent %v right after a pause", got)
+		}
+		if got := admits(l, tm, 20); got != floor {
+			t.Errorf("admitted %d right after a pause, want the floor of %d", got, floor)
+		}
+		l.wake()
+		time.Sleep(qm.LeaseTime - tick)
+		if got := lent(); got != 0 {
+			t.Errorf("lent %v before a lease was over", got)
+		}
+		time.Sleep(2 * time.Second)
+		if got := lent(); got <= 0 {
+			t.Error("lends nothing after the wait")
+		}
+	})
+}
+
+// TestForget guards against state for idle teams, and against a bucket that is fuller after it was forgotten.
+func TestForget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var teams []*qm.Team
+		for i := range 100 {
+			teams = append(teams, &qm.Team{ID: qm.TeamID(fmt.Sprint("team", i)), Limits: qm.Limits{RequestsPerMinute: 60, Concurrency: 4}})
+		}
+		l := alone(t, teams...)
+		defer l.Close()
+		for _, tm := range teams {
+			if got := admits(l, tm, 20); got != 0 {
+				t.Fatalf("%d requests admitted at the start, when buckets are empty", got)
+			}
+		}
+		time.Sleep(time.Minute)
+		// 54 a minute lendable with a tenth at once; concurrency 4 stops at 4.
+		for _, tm := range teams {
+			if got := admits(l, tm, 20); got != 4 {
+				t.Fatalf("%d requests admitted with a full bucket, want 4", got)
+			}
+		}
+		teamsNow, accounts := l.running()
+		if len(teamsNow) != 100 || accounts != 100 {
+			t.Fatalf("%d teams and %d accounts, want 100", len(teamsNow), accounts)
+		}
+		for id, n := range teamsNow {
+			for range n {
+				(&permit{l: l, team: id, admitted: l.now()}).Release(0)
+			}
+		}
+		time.Sleep(3 * time.Minute)
+		synctest.Wait()
+		if left, accounts := l.running(); len(left) != 0 || accounts != 0 {
+			t.Errorf("%d teams and %d accounts are left after three idle minutes", len(left), accounts)
+		}
+		if got := admits(l, &qm.Team{ID: "team1", Limits: qm.Limits{RequestsPerMinute: 60}}, 20); got != 5+1 {
+			t.Errorf("%d requests admitted by a forgotten team, want the home's burst of 5 and the floor of 1", got)
+		}
+	})
+}
+
+// running returns the requests that run for each team that has state, and the number of accounts.
+func (l *Limiter) running() (teams map[qm.TeamID]int, accounts int) {
+	teams = map[qm.TeamID]int{}
+	for i := range l.shards {
+		l.shards[i].mu.Lock()
+		for id, tm := range l.shards[i].teams {
+			teams[id] = tm.run.Used()
+		}
+		l.shards[i].mu.Unlock()
+	}
+	l.book.mu.Lock()
+	defer l.book.mu.Unlock()
+	return teams, len(l.book.accounts)
+}
+
+// TestLoweredLimit guards against a limit that is changed in the table and stays in force as it was.
+func TestLoweredLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		high := &qm.Team{ID: "a", Limits: qm.Limits{RequestsPerMinute: 6000}}
+		low := &qm.Team{ID: "a", Limits: qm.Limits{RequestsPerMinute: 60}}
+		l := alone(t, high)
+		defer l.Close()
+		time.Sleep(2 * time.Minute)
+		if got := admits(l, high, 5); got != 5 {
+			t.Fatal("a full bucket refused")
+		}
+		if got := admits(l, low, 100); got > 6 {
+			t.Errorf("%d admitted at once under the lowered limit", got)
+		}
+		time.Sleep(time.Minute)
+		if got := admits(l, high, 1000); got > 10 {
+			t.Errorf("%d admitted at once after the limit was raised: the bucket must fill first", got)
+		}
+	})
+}
+
+// TestOutputReserve guards against callers who set a high max_tokens and use little, and against a reserve that is given
+// back twice.
+func TestOutputReserve(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tm := &qm.Team{ID: "a", Limits: qm.Limits{OutputTokensPerMinute: 60000}}
+		l := alone(t, tm)
+		defer l.Close()
+		time.Sleep(2 * time.Minute)
+		run := func(most, used qm.Tokens) bool {
+			g, err := l.Admit(tm, qm.Cost{OutputTokens: most}, time.Now())
+			if err != nil {
+				return false
+			}
+			time.Sleep(time.Millisecond)
+			g.Release(used)
+			g.Release(0)
+			return true
+		}
+		for i := range 100 {
+			if !run(8000, 10) {
+				t.Fatalf("request %d refused: 8000 tokens reserved and 10 used each time", i)
+			}
+		}
+		n := 0
+		for range 100 {
+			if run(2000, 2000) {
+				n++
+			}
+		}
+		// The home's burst of 10,800, the floor's of 250, and what flows in meanwhile.
+		if n > 6 {
+			t.Errorf("%d requests of 2000 tokens admitted at once", n)
+		}
+	})
+}
+
+// TestRefusals checks what callers read, for people who never read the limits.
+func TestRefusals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tm := &qm.Team{ID: "kiln", Limits: qm.Limits{RequestsPerMinute: 600, PromptTokensPerMinute: 60000, OutputTokensPerMinute: 60000, Concurrency: 2}}
+		l := alone(t, tm)
+		defer l.Close()
+		time.Sleep(2 * time.Minute)
+		try := func(c qm.Cost) *qm.Error {
+			_, err := l.Admit(tm, c, time.Now())
+			var e *qm.Error
+			if err != nil && !errors.As(err, &e) {
+				t.Fatalf("%T is no *Error", err)
+			}
+			return e
+		}
+		for _, c := range []struct {
+			name, message string
+			cost          qm.Cost
+			code          qm.Code
+			retry         bool
+		}{
+			{"prompt above the burst", "send a shorter prompt", qm.Cost{PromptTokens: 50000}, qm.CodeTooLarge, false},
+			{"answer above the burst", "set max_tokens to at most that", qm.Cost{OutputTokens: 50000}, qm.CodeTooLarge, false},
+			{"first", "", qm.Cost{PromptTokens: 5000}, "", false},
+			{"tokens used up", "has used up its prompt tokens for now (60000 a minute, over all its scripts together): wait ", qm.Cost{PromptTokens: 5000}, qm.CodeRateLimit, true},
+			{"second", "", qm.Cost{}, "", false},
+			{"too many at a time", "already has as many requests running as it may (2 at a time", qm.Cost{}, qm.CodeConcurrency, true},
+		} {
+			e := try(c.cost)
+			if c.code == "" {
+				if e != nil {
+					t.Errorf("%s: refused: %v", c.name, e)
+				}
+				continue
+			}
+			if e == nil || e.Code != c.code || e.Outcome != qm.NotRun || e.RetryAfter > 0 != c.retry || !strings.Contains(e.Message, c.message) {
+				t.Errorf("%s: got %+v", c.name, e)
+			}
+			if e != nil && c.code == qm.CodeRateLimit {
+				time.Sleep(e.RetryAfter)
+				if e := try(c.cost); e != nil {
+					t.Errorf("%s: refused again after the advised wait: %v", c.name, e)
+				} else {
+					(&permit{l: l, team: "kiln", admitted: l.now()}).Release(0)
+				}
+			}
+		}
+	})
+}
+
+// TestConcurrency guards the sum of running requests over instances, the slots of a lost instance, and those that run
+// while the home changes.
+func TestConcurrency(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const limit = 20
+		p := divide(qm.Limits{Concurrency: limit}, 6, DefaultFloorFraction)
+		b := book{accounts: map[qm.TeamID]*account{}}
+		a := b.open("a", &p, 0, time.Minute, 3)
+		item := func(want, inUse float64) *peerpb.BorrowItem {
+			return &peerpb.BorrowItem{Dimension: concurrency, Units: want, InUse: inUse}
+		}
+		now := time.Minute
+		serve := func(to qm.InstanceID, want, inUse float64, lending bool) float64 {
+			a.settle(&p, now)
+			return a.serve(&p, "self", to, item(want, inUse), false, lending, now)
+		}
+		// 20 slots, 3 used by the home itself.
+		steps := []struct {
+			to          qm.InstanceID
+			want, inUse float64
+			lending     bool
+			got         float64
+		}{
+			{"r2", 10, 0, true, 10}, {"r3", 10, 0, true, 7}, {"r2", 10, 0, true, 10}, {"r2", 4, 0, true, 4},
+			{"r3", 20, 0, true, 13}, {"r4", 5, 0, true, 0}, {"r4", 5, 2, false, 2}, {"r4", 9, 2, true, 2},
+		}
+		for i, s := range steps {
+			if got := serve(s.to, s.want, s.inUse, s.lending); got != s.got {
+				t.Errorf("step %d: %s holds %v, want %v", i, s.to, got, s.got)
+			}
+		}
+		now += qm.LeaseTime
+		if got := serve("r4", 20, 0, true); got != 17 {
+			t.Errorf("%v slots after the others' leases ran out, want 17", got)
+		}
+	})
+}
+
+// BenchmarkAdmit measures one Admit with its Release at the home of the team, with all dimensions limited.
+func BenchmarkAdmit(b *testing.B) {
+	tm := &qm.Team{ID: "a", Limits: qm.Limits{RequestsPerMinute: 1e9, PromptTokensPerMinute: 1e12, OutputTokensPerMinute: 1e12, Concurrency: 1000}}
+	for _, home := range []bool{true, false} {
+		name := "floor"
+		if home {
+			name = "home"
+		}
+		b.Run(name, func(b *testing.B) {
+			l := alone(b, tm)
+			defer l.Close()
+			if home {
+				l.start = l.start.Add(-time.Hour)
+				l.wake()
+				l.views.add(l.views.now().members, 0, true)
+			}
+			b.ReportAllocs()
+			ok := 0
+			for b.Loop() {
+				if g, err := l.Admit(tm, qm.Cost{PromptTokens: 1, OutputTokens: 1}, time.Now()); err == nil {
+					g.Release(1)
+					ok++
+				}
+			}
+			b.ReportMetric(float64(ok)/float64(b.N), "admitted/op")
+		})
+	}
+}
