Choose the homes of a prompt by walking down its prefixes

Cause: one fixed level as the affinity key is wrong for some team: the first level sends a whole large team to one engine, the level below it copies the team's rules to every engine. The homes are now narrowed step by step: each prefix keeps as many engines as its share of the router's requests needs. A hot prefix keeps several, so it needs no rule of its own.

--- a/internal/bench/trial/variants.go
+++ b/internal/bench/trial/variants.go
@@ -22,14 +22,12 @@
 		edit(&opt)
 		all = append(all, Policy{Name: name, New: func(*world) quetzalmount.Placer { return place.New(opt) }})
 	}
-	for _, share := range []float64{0, 0.4, 0.7, 0.99} {
-		ours("expected "+strconv.FormatFloat(share, 'f', 2, 64), func(o *place.Options) { o.HomeShare = share })
-	}
 	for _, stray := range []float64{0, 0.5, 2, 4, 8} {
 		ours("stray "+strconv.FormatFloat(stray, 'f', 1, 64), func(o *place.Options) { o.Stray = stray })
 	}
-	ours("no spread", func(o *place.Options) { o.HotFactor = 0 })
-	ours("spread 1", func(o *place.Options) { o.HotFactor = 1 })
+	for _, width := range []float64{0.7, 1, 1.6, 2, 3, 5} {
+		ours("width "+strconv.FormatFloat(width, 'f', 1, 64), func(o *place.Options) { o.Width = width })
+	}
 	ours("no lots", func(o *place.Options) { o.Near, o.NearShare = 0, 0 })
 	ours("bound 1.25", func(o *place.Options) { o.LoadFactor, o.LoadFloor = 1.25, 1 })
 	ours("bound 4", func(o *place.Options) { o.LoadFactor = 4 })
--- a/internal/route/place/homes.go
+++ b/internal/route/place/homes.go
@@ -1,22 +1,42 @@
 package place
 
-// maxHomes bounds the engines that a hot prefix is spread over by the hash.
-const maxHomes = 8
+import "quetzalmount.dev/quetzalmount"
 
-// homes collects the engines with the highest weights, highest first: the homes of a prefix and one engine in reserve.
+// maxHomes bounds the engines that the hash selects for a prefix. A prefix that needs more is not narrowed by it; the next
+// step of the prompt narrows the choice.
+const maxHomes = 64
+
+// homes collects the engines with the highest weights, highest first, and those that were dropped in the last narrowing.
 type homes struct {
 	want, n int
-	weights [maxHomes + 1]uint64
-	places  [maxHomes + 1]int
+	weights [maxHomes]uint64
+	places  [maxHomes]int
+	// near holds the homes of the step before, which have the first levels of the prompt in their caches.
+	near  [maxHomes]int
+	nears int
+}
+
+// reset empties the list.
+func (h *homes) reset() { h.want, h.n, h.nears = 0, 0, 0 }
+
+// full reports whether homes were selected.
+func (h *homes) full() bool { return h.n > 0 }
+
+// size returns the number of engines left, of all engines before the first selection.
+func (h *homes) size(all int) int {
+	if h.n == 0 {
+		return all
+	}
+	return h.n
 }
 
-// reset empties the list and sets the number of homes.
-func (h *homes) reset(want int) { h.want, h.n = want, 0 }
+// begin starts a selection of want engines.
+func (h *homes) begin(want int) { h.want, h.n = want, 0 }
 
 // offer adds an engine if its weight is among the highest.
 func (h *homes) offer(weight uint64, place int) {
 	i := h.n
-	if h.n <= h.want {
+	if h.n < h.want {
 		h.n++
 	} else if i--; weight <= h.weights[i] {
 		return
@@ -27,21 +47,29 @@
 	h.weights[i], h.places[i] = weight, place
 }
 
-// refund lowers the scores of the homes to their times, and takes back half of the difference for the reserve.
+// narrow selects want of the homes by their weights for a longer prefix.
+func (h *homes) narrow(key quetzalmount.PrefixKey, want int, f *fleet) {
+	h.nears = copy(h.near[:], h.places[:h.n])
+	h.begin(want)
+	for _, at := range h.near[:h.nears] {
+		h.offer(weigh(key, f.at(at).hash), at)
+	}
+}
+
+// refund lowers the scores of the homes to their times, and takes back half of the difference for those before them.
 func (h *homes) refund(scores, times []float64) {
-	for i, at := range h.places[:h.n] {
-		if i < h.want {
-			scores[at] = times[at]
-		} else {
-			scores[at] = (scores[at] + times[at]) / 2
-		}
+	for _, at := range h.near[:h.nears] {
+		scores[at] = (scores[at] + times[at]) / 2
+	}
+	for _, at := range h.places[:h.n] {
+		scores[at] = times[at]
 	}
 }
 
 // best returns the home with the lowest score, or -1.
 func (h *homes) best(scores []float64) int {
 	best := -1
-	for _, at := range h.places[:min(h.n, h.want)] {
+	for _, at := range h.places[:h.n] {
 		if best < 0 || scores[at] < scores[best] {
 			best = at
 		}
--- a/internal/route/place/place.go
+++ b/internal/route/place/place.go
@@ -14,8 +14,11 @@
 type Options struct {
 	// Prefixes bounds the table of recent prefixes, at 80 bytes each.
 	Prefixes int
-	// HomeShare is the part of a prompt whose prefix selects the home engine.
-	HomeShare float64
+	// Width is the number of engines that serve a prefix for each engine's worth of the router's requests that it makes up.
+	Width float64
+	// PriorCount and PriorShare stand in for observations after a start: the shortest prefix is taken to make up PriorShare
+	// of PriorCount earlier requests.
+	PriorCount, PriorShare float64
 	// Stray scales the cost of tokens that are prefilled at an engine that is not a home of the prefix: the copy takes memory
 	// and makes other prefixes miss later. The engine that follows the homes by weight pays half.
 	Stray float64
@@ -25,13 +28,9 @@
 	// LoadFactor bounds the requests of an engine relative to the mean, LoadFloor is the least bound.
 	LoadFactor float64
 	LoadFloor  int
-	// HotKeys is the number of counters for hot prefixes, HotMemory the half-life of a count, HotCount the number of
-	// occurrences below which a prefix is not called hot.
+	// HotKeys is the number of counters for hot prefixes, HotMemory the half-life of a count.
 	HotKeys   int
 	HotMemory time.Duration
-	HotCount  float64
-	// HotFactor is the number of homes of a prefix for each engine's worth of the router's requests that it makes up.
-	HotFactor float64
 	// GapTrust scales the confidence in entries that were seen before a gap in the engine's events.
 	GapTrust float64
 	// EventLag is the assumed delay of cache events.
@@ -41,8 +40,8 @@
 // Defaults returns the parameters in use.
 func Defaults() Options {
 	return Options{
-		Prefixes: 1 << 15, HomeShare: 0.7, Stray: 1, Near: 5 * time.Millisecond, NearShare: 0.1,
-		LoadFactor: 2, LoadFloor: 8, HotKeys: 64, HotMemory: 3 * time.Second, HotCount: 4, HotFactor: 0.5,
+		Prefixes: 1 << 15, Width: 1.3, PriorCount: 5, PriorShare: 1.0 / 3, Stray: 1, Near: 5 * time.Millisecond,
+		NearShare: 0.1, LoadFactor: 2, LoadFloor: 8, HotKeys: 128, HotMemory: 10 * time.Second,
 		GapTrust: 0.7, EventLag: time.Second,
 	}
 }
@@ -86,11 +85,9 @@
 	defer p.mu.Unlock()
 	p.fleet.sync(engines, now)
 	tick := p.fleet.tick(now)
-	key := affinity(r, p.opt.HomeShare)
-	p.hot.Add(key, tick)
+	p.count(r, tick)
 	p.trace(r, tick)
-	p.homes.reset(p.spread(key, n))
-	best := p.score(r, engines, state, n, key)
+	best := p.score(r, engines, state, n)
 	at, reason := p.choose(best, rnd)
 	e := p.fleet.at(at)
 	d := quetzalmount.Decision{
@@ -140,20 +137,53 @@
 	return c
 }
 
-// spread returns the number of homes of a prefix: one, or more if it makes up more of the requests than one of n engines
-// should serve.
-func (p *Expected) spread(key quetzalmount.PrefixKey, n int) int {
-	share, count := p.hot.Share(key)
-	if count < p.opt.HotCount {
-		return 1
+// count counts the prefixes of the prompt. The whole prompt, which hardly ever comes again, counts only if it is one step.
+func (p *Expected) count(r *quetzalmount.PlaceRequest, now sketch.Tick) {
+	p.hot.Begin(now)
+	for _, s := range shared(r) {
+		p.hot.Add(s.Key)
+	}
+}
+
+// shared returns the steps that other prompts may have in common with this one.
+func shared(r *quetzalmount.PlaceRequest) []quetzalmount.PrefixSpan {
+	if len(r.Spans) > 1 {
+		return r.Spans[:len(r.Spans)-1]
+	}
+	return r.Spans
+}
+
+// settle finds the homes of the prompt. It walks from the shortest prefix on and keeps as many engines as the share of
+// the prefix among the requests needs, chosen by weight among those kept before. So a large team is spread over several
+// engines by its contexts, a small one stays on one engine, and a hot prefix keeps several to the end. No fixed level of
+// the prompt has to be named, and the common first levels take memory on few engines only.
+func (p *Expected) settle(r *quetzalmount.PlaceRequest, n int) {
+	p.homes.reset()
+	for i, s := range shared(r) {
+		count, total := p.hot.Count(s.Key)
+		if i == 0 {
+			count += p.opt.PriorCount * p.opt.PriorShare
+		}
+		want := int(math.Ceil(p.opt.Width * float64(n) * count / (total + p.opt.PriorCount)))
+		if want = max(want, 1); want > maxHomes || want >= p.homes.size(n) {
+			continue
+		}
+		if p.homes.full() {
+			p.homes.narrow(s.Key, want, p.fleet)
+			continue
+		}
+		p.homes.begin(want)
+		for at, t := range p.times {
+			if !math.IsInf(t, 1) {
+				p.homes.offer(weigh(s.Key, p.fleet.at(at).hash), at)
+			}
+		}
 	}
-	return max(1, min(int(math.Ceil(share*float64(n)*p.opt.HotFactor)), n, maxHomes))
 }
 
 // score fills in the expected times, the homes and the scores, and returns the least score.
 func (p *Expected) score(
 	r *quetzalmount.PlaceRequest, engines []*quetzalmount.Endpoint, state quetzalmount.MemberState, n int,
-	key quetzalmount.PrefixKey,
 ) float64 {
 	total := 0
 	p.times, p.scores = p.times[:0], p.scores[:0]
@@ -177,8 +207,8 @@
 		}
 		p.times[i] = p.expect(r, e)
 		p.scores[i] = p.times[i] + p.opt.Stray*p.missing(r, e)*e.cost
-		p.homes.offer(weigh(key, e.hash), i)
 	}
+	p.settle(r, n)
 	p.homes.refund(p.scores, p.times)
 	best := math.Inf(1)
 	for _, s := range p.scores {
@@ -217,7 +247,7 @@
 func (p *Expected) choose(best float64, rnd *rand.Rand) (int, string) {
 	limit := best + math.Max(p.opt.Near.Seconds(), p.opt.NearShare*best)
 	if at := p.homes.best(p.scores); at >= 0 && p.scores[at] <= limit {
-		if p.homes.want > 1 {
+		if p.homes.n > 1 {
 			return at, reasonSpread
 		}
 		return at, reasonHome
--- a/internal/route/sketch/hot.go
+++ b/internal/route/sketch/hot.go
@@ -25,10 +25,14 @@
 	}
 }
 
-// Add counts one occurrence of key.
-func (h *Hot) Add(key quetzalmount.PrefixKey, now Tick) {
+// Begin starts the next request, of which each key is counted once at most.
+func (h *Hot) Begin(now Tick) {
 	h.decay(now)
 	h.total++
+}
+
+// Add counts one occurrence of key.
+func (h *Hot) Add(key quetzalmount.PrefixKey) {
 	low := 0
 	for i, k := range h.keys {
 		if k == key && h.counts[i] > 0 {
@@ -43,7 +47,7 @@
 	h.counts[low]++
 }
 
-// decay scales the counts at most once in a sixteenth of a half-life, which keeps Add cheap.
+// decay scales the counts at most once in a sixteenth of a half-life, which keeps Begin cheap.
 func (h *Hot) decay(now Tick) {
 	age := time.Duration(now-h.last) * TickTime
 	if age < h.half/16 {
@@ -58,14 +62,12 @@
 	}
 }
 
-// Share returns a lower bound of the share of occurrences that key has, from 0 to 1, and the number of occurrences that
-// stand behind it.
-func (h *Hot) Share(key quetzalmount.PrefixKey) (share, count float64) {
+// Count returns a lower bound of the number of requests with key, and the number of all requests.
+func (h *Hot) Count(key quetzalmount.PrefixKey) (count, total float64) {
 	for i, k := range h.keys {
 		if k == key && h.counts[i] > 0 {
-			sure := h.counts[i] - h.errs[i]
-			return sure / h.total, sure
+			return h.counts[i] - h.errs[i], h.total
 		}
 	}
-	return 0, 0
+	return 0, h.total
 }
--- a/internal/route/sketch/sketch_test.go
+++ b/internal/route/sketch/sketch_test.go
@@ -77,22 +77,28 @@
 	h := NewHot(32, time.Second)
 	send := func(hot quetzalmount.PrefixKey, from, to Tick) {
 		for now := from; now < to; now++ {
-			h.Add(hot, now)
+			h.Begin(now)
+			h.Add(hot)
 			for i := range quetzalmount.PrefixKey(3) {
-				h.Add(1000+quetzalmount.PrefixKey(now)*3+i, now)
+				h.Begin(now)
+				h.Add(1000 + quetzalmount.PrefixKey(now)*3 + i)
 			}
 		}
 	}
+	share := func(key quetzalmount.PrefixKey) float64 {
+		count, total := h.Count(key)
+		return count / total
+	}
 	send(1, 0, 500)
-	if share, _ := h.Share(1); math.Abs(share-0.25) > 0.01 {
-		t.Errorf("share of the hot prefix = %.3f, want 0.25", share)
+	if got := share(1); math.Abs(got-0.25) > 0.01 {
+		t.Errorf("share of the hot prefix = %.3f, want 0.25", got)
 	}
 	send(2, 500, 1000)
-	if share, _ := h.Share(1); share > 0.02 {
-		t.Errorf("share after five half-lives without traffic = %.3f, want below 0.02", share)
+	if got := share(1); got > 0.02 {
+		t.Errorf("share after five half-lives without traffic = %.3f, want below 0.02", got)
 	}
-	if share, _ := h.Share(2); share < 0.2 {
-		t.Errorf("share of the new hot prefix = %.3f, want above 0.2", share)
+	if got := share(2); got < 0.2 {
+		t.Errorf("share of the new hot prefix = %.3f, want above 0.2", got)
 	}
 }
 
@@ -105,7 +111,8 @@
 		tab.Add(key, Slot(now%12), 1, now)
 		tab.Get(key)
 		tab.Drop(key-7919*5, Slot(now%12))
-		hot.Add(key, now)
+		hot.Begin(now)
+		hot.Add(key)
 	})
 	if got != 0 {
 		t.Errorf("%.1f allocations a step, want 0", got)
