Learn from first tokens what a reported backlog is worth

Each first token shows the backlog that its request really met. A decaying linear regression of it on the reported backlog of other routers gives the expected one; the slope falls toward 0 as reports age, and no lag has to be configured.

--- a/internal/route/place/fleet.go
+++ b/internal/route/place/fleet.go
@@ -97,9 +97,10 @@
 	engine  sketch.Slot
 	epoch   uint16
 	started time.Time
-	// missing is the tokens to prefill, ahead those expected before them.
-	missing, ahead float64
-	prefilled      bool
+	// missing is the tokens to prefill, own and others the backlog before them that this router had sent and that was
+	// reported of other routers.
+	missing, own, others float64
+	prefilled            bool
 }
 
 // flightID names a flight: a request may fail at one engine and be sent to the next.
@@ -238,7 +239,7 @@
 	}
 	missing := float64(max(0, r.PromptTokens-d.Hit))
 	f.flights[flightID{r, d.Endpoint.ID}] = flight{
-		engine: s, epoch: e.epoch, started: now, missing: missing, ahead: e.pending + e.others(),
+		engine: s, epoch: e.epoch, started: now, missing: missing, own: e.pending, others: e.others(),
 	}
 	e.inflight++
 	e.pending += missing
--- a/internal/route/place/learn.go
+++ b/internal/route/place/learn.go
@@ -42,10 +42,11 @@
 	if e == nil {
 		return
 	}
+	missing, took := float64(r.PromptTokens-cached), now.Sub(f.started).Seconds()
+	p.trust.learn(f.others, took/e.cost-missing-f.own)
 	// A long queue says more about the quality of the load report than about the cost.
-	missing := float64(r.PromptTokens - cached)
-	if missing >= leastSample && missing >= f.ahead {
-		e.cost += costWeight * (now.Sub(f.started).Seconds()/(missing+f.ahead) - e.cost)
+	if ahead := f.own + f.others; missing >= leastSample && missing >= ahead {
+		e.cost += costWeight * (took/(missing+ahead) - e.cost)
 	}
 }
 
--- a/internal/route/place/place.go
+++ b/internal/route/place/place.go
@@ -56,6 +56,9 @@
 	hot   *sketch.Hot
 	stamp uint32
 	homes homes
+	trust trust
+	// base and slope turn a reported backlog into the expected one.
+	base, slope float64
 	// times is the expected time of each engine in the list, in seconds, or +Inf if it may not be chosen. scores is the same
 	// with the cost of copies.
 	times, scores []float64
@@ -70,6 +73,7 @@
 func New(opt Options) *Expected {
 	return &Expected{
 		opt: opt, fleet: newFleet(), table: sketch.New(opt.Prefixes), hot: sketch.NewHot(opt.HotKeys, opt.HotMemory),
+		trust: newTrust(),
 	}
 }
 
@@ -196,6 +200,7 @@
 		}
 	}
 	bound := p.bound(total, n)
+	p.base, p.slope = p.trust.line()
 	for i := range engines {
 		e := p.fleet.at(i)
 		if p.times[i] != 0 {
@@ -226,7 +231,7 @@
 
 // expect returns the expected time to first token at an engine, in seconds.
 func (p *Expected) expect(r *quetzalmount.PlaceRequest, e *engine) float64 {
-	tokens := e.pending + e.others() + p.missing(r, e)
+	tokens := e.pending + math.Max(0, p.base+p.slope*e.others()) + p.missing(r, e)
 	wait := 0.0
 	if over := e.load() + 1 - e.slots; over > 0 && e.slots > 0 {
 		wait = float64(over) * e.service / float64(e.slots)
