Trust entries without an eviction while all events arrive

Cause: two thirds of the recomputed tokens were held by an engine that the router did not count on. Hits of other routers keep blocks in the cache without any event, so age alone gives up entries that are still there. While an engine's events arrive without gaps, an entry keeps a confidence of 0.9 until its eviction; after a gap or a silence of 3 s the age decides as before.

--- a/internal/bench/trial/variants.go
+++ b/internal/bench/trial/variants.go
@@ -28,6 +28,12 @@
 	for _, width := range []float64{0.7, 1, 1.6, 2, 3, 5} {
 		ours("width "+strconv.FormatFloat(width, 'f', 1, 64), func(o *place.Options) { o.Width = width })
 	}
+	for _, trust := range []float64{0, 0.5, 0.8, 1} {
+		ours("events "+strconv.FormatFloat(trust, 'f', 1, 64), func(o *place.Options) { o.EventTrust = trust })
+	}
+	all = append(all, Policy{Name: "deaf", New: func(*world) quetzalmount.Placer {
+		return struct{ quetzalmount.Placer }{place.New(place.Defaults())}
+	}})
 	ours("no lots", func(o *place.Options) { o.Near, o.NearShare = 0, 0 })
 	ours("bound 1.25", func(o *place.Options) { o.LoadFactor, o.LoadFloor = 1.25, 1 })
 	ours("bound 4", func(o *place.Options) { o.LoadFactor = 4 })
--- a/internal/route/place/fleet.go
+++ b/internal/route/place/fleet.go
@@ -34,6 +34,8 @@
 	seen  sketch.Tick
 	// gap is when events were lost last. Entries seen before it may have been evicted without notice.
 	gap sketch.Tick
+	// heard is when events arrived last, 0 if none did in this epoch.
+	heard sketch.Tick
 
 	reported time.Time
 	running  int
@@ -89,7 +91,7 @@
 	}
 	e.reported, e.rate, e.evicted, e.stay = time.Time{}, 0, 0, maxStay
 	e.inflight, e.inflightAt, e.pending, e.pendingAt, e.queued = 0, 0, 0, 0, 0
-	e.running, e.waiting = 0, 0
+	e.running, e.waiting, e.heard = 0, 0, 0
 }
 
 // flight is one request at one engine.
--- a/internal/route/place/learn.go
+++ b/internal/route/place/learn.go
@@ -82,6 +82,7 @@
 	}
 	// Events describe the past. An entry that an own dispatch renewed since is newer than an eviction reported now.
 	then := p.fleet.tick(now.Add(-p.opt.EventLag))
+	e.heard = p.fleet.tick(now)
 	if gap {
 		e.gap = then
 	}
--- a/internal/route/place/place.go
+++ b/internal/route/place/place.go
@@ -33,6 +33,10 @@
 	HotMemory time.Duration
 	// GapTrust scales the confidence in entries that were seen before a gap in the engine's events.
 	GapTrust float64
+	// EventTrust is the confidence in old entries of an engine whose events arrive without gaps, and EventSilence the time
+	// without events after which they do not.
+	EventTrust   float64
+	EventSilence time.Duration
 	// EventLag is the assumed delay of cache events.
 	EventLag time.Duration
 }
@@ -42,7 +46,7 @@
 	return Options{
 		Prefixes: 1 << 15, Width: 1.3, PriorCount: 5, PriorShare: 1.0 / 3, Stray: 1, Near: 5 * time.Millisecond,
 		NearShare: 0.1, LoadFactor: 2, LoadFloor: 8, HotKeys: 128, HotMemory: 10 * time.Second,
-		GapTrust: 0.7, EventLag: time.Second,
+		GapTrust: 0.7, EventTrust: 0.9, EventSilence: 3 * time.Second, EventLag: time.Second,
 	}
 }
 
@@ -128,15 +132,19 @@
 	}
 }
 
-// confidence returns the chance that a holder still has the prefix. Caches evict the least recently used block, so the
-// chance is near 1 until the age reaches the time that unused blocks stay, and falls quickly after it.
+// confidence returns the chance that a holder still has the prefix. While all events of the engine arrive, an entry without
+// an eviction is still there, unless that is on its way. Otherwise the age decides: caches evict the least recently used
+// block, so the chance is near 1 until the age reaches the time that unused blocks stay, and falls quickly after it.
 func (p *Expected) confidence(e *engine, h sketch.Holder, now sketch.Tick) float64 {
 	age := time.Duration(now-h.Seen) * sketch.TickTime
 	x := age.Seconds() / math.Max(e.stay, 0.001)
 	x *= x
 	c := 1 / (1 + x*x)
 	if h.Seen < e.gap {
-		c *= p.opt.GapTrust
+		return c * p.opt.GapTrust
+	}
+	if e.heard != 0 && time.Duration(now-e.heard)*sketch.TickTime < p.opt.EventSilence {
+		c = math.Max(c, p.opt.EventTrust)
 	}
 	return c
 }
