Charge for prefilling what another engine holds

Tokens that another engine is expected to hold now cost 1 + Again. With that, Stray can be lower (0.5) and Width higher (2). The counts of hot prefixes have a half-life of 30 s, entries without an eviction are fully trusted, the assumed delay of events is 0.5 s, and the near-equal range is 5 ms.

--- a/internal/bench/trial/variants.go
+++ b/internal/bench/trial/variants.go
@@ -22,19 +22,23 @@
 		edit(&opt)
 		all = append(all, Policy{Name: name, New: func(*world) quetzalmount.Placer { return place.New(opt) }})
 	}
-	for _, stray := range []float64{0, 0.5, 2, 4, 8} {
+	for _, again := range []float64{0, 1, 4, 8} {
+		ours("again "+strconv.FormatFloat(again, 'f', 1, 64), func(o *place.Options) { o.Again = again })
+	}
+	for _, stray := range []float64{0, 1, 2, 4, 8} {
 		ours("stray "+strconv.FormatFloat(stray, 'f', 1, 64), func(o *place.Options) { o.Stray = stray })
 	}
-	for _, width := range []float64{0.7, 1, 1.6, 2, 3, 5} {
+	for _, width := range []float64{1, 1.5, 3, 5} {
 		ours("width "+strconv.FormatFloat(width, 'f', 1, 64), func(o *place.Options) { o.Width = width })
 	}
-	for _, trust := range []float64{0, 0.5, 0.8, 1} {
+	for _, trust := range []float64{0, 0.9} {
 		ours("events "+strconv.FormatFloat(trust, 'f', 1, 64), func(o *place.Options) { o.EventTrust = trust })
 	}
 	all = append(all, Policy{Name: "deaf", New: func(*world) quetzalmount.Placer {
 		return struct{ quetzalmount.Placer }{place.New(place.Defaults())}
 	}})
-	ours("no lots", func(o *place.Options) { o.Near, o.NearShare = 0, 0 })
+	ours("no lots", func(o *place.Options) { o.Near = 0 })
+	ours("lots 0.1", func(o *place.Options) { o.NearShare = 0.1 })
 	ours("bound 1.25", func(o *place.Options) { o.LoadFactor, o.LoadFloor = 1.25, 1 })
 	ours("bound 4", func(o *place.Options) { o.LoadFactor = 4 })
 	return all
--- a/internal/route/place/place.go
+++ b/internal/route/place/place.go
@@ -16,12 +16,11 @@
 	Prefixes int
 	// Width is the number of engines that serve a prefix for each engine's worth of the router's requests that it makes up.
 	Width float64
-	// PriorCount and PriorShare stand in for observations after a start: the shortest prefix is taken to make up PriorShare
-	// of PriorCount earlier requests.
-	PriorCount, PriorShare float64
 	// Stray scales the cost of tokens that are prefilled at an engine that is not a home of the prefix: the copy takes memory
 	// and makes other prefixes miss later. The engine that follows the homes by weight pays half.
 	Stray float64
+	// Again scales the cost of tokens that are prefilled although another engine is expected to hold them.
+	Again float64
 	// Near is the difference in expected time within which engines count as equal, NearShare the same relative to the best.
 	Near      time.Duration
 	NearShare float64
@@ -44,9 +43,9 @@
 // Defaults returns the parameters in use.
 func Defaults() Options {
 	return Options{
-		Prefixes: 1 << 15, Width: 1.3, PriorCount: 5, PriorShare: 1.0 / 3, Stray: 1, Near: 5 * time.Millisecond,
-		NearShare: 0.1, LoadFactor: 2, LoadFloor: 8, HotKeys: 128, HotMemory: 10 * time.Second,
-		GapTrust: 0.7, EventTrust: 0.9, EventSilence: 3 * time.Second, EventLag: time.Second,
+		Prefixes: 1 << 15, Width: 2, Stray: 0.5, Again: 2,
+		Near: 5 * time.Millisecond, LoadFactor: 2, LoadFloor: 8, HotKeys: 128, HotMemory: 30 * time.Second,
+		GapTrust: 0.7, EventTrust: 1, EventSilence: 3 * time.Second, EventLag: 500 * time.Millisecond,
 	}
 }
 
@@ -171,12 +170,9 @@
 // the prompt has to be named, and the common first levels take memory on few engines only.
 func (p *Expected) settle(r *quetzalmount.PlaceRequest, n int) {
 	p.homes.reset()
-	for i, s := range shared(r) {
+	for _, s := range shared(r) {
 		count, total := p.hot.Count(s.Key)
-		if i == 0 {
-			count += p.opt.PriorCount * p.opt.PriorShare
-		}
-		want := int(math.Ceil(p.opt.Width * float64(n) * count / (total + p.opt.PriorCount)))
+		want := int(math.Ceil(p.opt.Width * float64(n) * count / total))
 		if want = max(want, 1); want > maxHomes || want >= p.homes.size(n) {
 			continue
 		}
@@ -223,6 +219,7 @@
 	}
 	p.settle(r, n)
 	p.homes.refund(p.scores, p.times)
+	p.charge(r)
 	best := math.Inf(1)
 	for _, s := range p.scores {
 		best = math.Min(best, s)
@@ -230,6 +227,21 @@
 	return best
 }
 
+// charge adds the cost of prefilling again what another engine is expected to hold, at homes and elsewhere.
+func (p *Expected) charge(r *quetzalmount.PlaceRequest) {
+	least := math.Inf(1)
+	for i, t := range p.times {
+		if !math.IsInf(t, 1) {
+			least = math.Min(least, p.missing(r, p.fleet.at(i)))
+		}
+	}
+	for i, t := range p.times {
+		if e := p.fleet.at(i); !math.IsInf(t, 1) {
+			p.scores[i] += p.opt.Again * (p.missing(r, e) - least) * e.cost
+		}
+	}
+}
+
 // bound returns the number of requests that no engine may exceed while total requests run on n engines. It is above the
 // mean, so at least one engine is below it.
 func (p *Expected) bound(total, n int) int {
