--- /dev/null
+++ b/internal/route/place/place_test.go
@@ -0,0 +1,279 @@
+package place
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	"quetzalmount.dev/quetzalmount"
+	"quetzalmount.dev/quetzalmount/internal/route/prefix"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// view returns n live engines with an empty queue.
+func view(n int, edit func(i int, e *quetzalmount.Endpoint)) []*quetzalmount.Endpoint {
+	var all []*quetzalmount.Endpoint
+	for i := range n {
+		e := &quetzalmount.Endpoint{
+			ID: quetzalmount.EndpointID("e" + strconv.Itoa(i)), Group: "g", State: quetzalmount.Live, Incarnation: "one",
+			Version: "v1", ReportedAt: start, Load: quetzalmount.Load{Slots: 48, UsedBlocks: 50},
+		}
+		if edit != nil {
+			edit(i, e)
+		}
+		all = append(all, e)
+	}
+	return all
+}
+
+// ask returns a request whose prompt has three shared steps and a question of its own.
+func ask(team, version, context string, question uint64) *quetzalmount.PlaceRequest {
+	s := prefix.Scope{Team: quetzalmount.TeamID(team), Model: "m", Version: quetzalmount.VersionID(version)}
+	r := &quetzalmount.PlaceRequest{Team: s.Team, Model: "m", PromptTokens: 12500}
+	key := s.Root()
+	for i, id := range []uint64{1, uint64(len(context)) + 10, uint64(len(context)) + 20, question + 1000} {
+		key = prefix.Step(key, id)
+		r.Spans = append(r.Spans, quetzalmount.PrefixSpan{Key: key, End: min(12500, quetzalmount.Tokens(i+1)*4000)})
+	}
+	return r
+}
+
+// tester drives one placer on a clock of its own.
+type tester struct {
+	t   *testing.T
+	p   *Expected
+	rnd *rand.Rand
+	now time.Time
+}
+
+func newTester(t *testing.T) *tester {
+	return &tester{t: t, p: New(Defaults()), rnd: rand.New(rand.NewPCG(1, 2)), now: start}
+}
+
+// serve runs a request to its end in 0.4 s.
+func (x *tester) serve(r *quetzalmount.PlaceRequest, d quetzalmount.Decision) {
+	x.p.Dispatched(r, d, x.now)
+	x.now = x.now.Add(400 * time.Millisecond)
+	x.p.FirstToken(r, d, d.Hit, x.now)
+	x.p.Finished(r, d, x.now)
+}
+
+func (x *tester) place(r *quetzalmount.PlaceRequest, v []*quetzalmount.Endpoint) quetzalmount.Decision {
+	x.t.Helper()
+	d, ok := x.p.Place(r, v, x.now, x.rnd)
+	if !ok {
+		x.t.Fatal("no engine chosen")
+	}
+	return d
+}
+
+// TestReuse guards against decisions that count on entries of a dead incarnation, of another team or of older weights, and
+// against forgetting entries that are still good.
+func TestReuse(t *testing.T) {
+	with := func(edit func(*quetzalmount.Endpoint)) []*quetzalmount.Endpoint {
+		return view(8, func(_ int, e *quetzalmount.Endpoint) { edit(e) })
+	}
+	tests := []struct {
+		name string
+		view []*quetzalmount.Endpoint
+		req  *quetzalmount.PlaceRequest
+		then func(x *tester, e quetzalmount.EndpointID)
+		want quetzalmount.Tokens
+	}{
+		{name: "same prefix", req: ask("a", "v1", "c", 2), want: 12000},
+		{name: "other context", req: ask("a", "v1", "other", 2), want: 4000},
+		{name: "other team", req: ask("b", "v1", "c", 2)},
+		{name: "older weights", req: ask("a", "v0", "c", 2)},
+		{name: "restarted engine", req: ask("a", "v1", "c", 2),
+			view: with(func(e *quetzalmount.Endpoint) { e.Incarnation = "two" })},
+		{name: "new weights in the same process", req: ask("a", "v1", "c", 2),
+			view: with(func(e *quetzalmount.Endpoint) { e.Version = "v2" })},
+		{name: "forgotten", req: ask("a", "v1", "c", 2), view: with(func(e *quetzalmount.Endpoint) { e.Incarnation = "two" }),
+			then: func(x *tester, e quetzalmount.EndpointID) { x.p.Forget(e, "two") }},
+		{name: "forgotten, and the view is older", req: ask("a", "v1", "c", 2),
+			then: func(x *tester, e quetzalmount.EndpointID) { x.p.Forget(e, "two") }},
+		{name: "events of a dead incarnation", req: ask("a", "v1", "c", 2),
+			view: with(func(e *quetzalmount.Endpoint) { e.Incarnation = "two" }),
+			then: func(x *tester, e quetzalmount.EndpointID) {
+				x.p.Forget(e, "two")
+				for _, s := range ask("a", "v1", "c", 2).Spans {
+					x.p.Observe(e, "one", []quetzalmount.CacheEvent{{Stored: true, Block: s.Key}}, false, x.now)
+				}
+			}},
+		{name: "evicted", req: ask("a", "v1", "c", 2), want: 4000,
+			then: func(x *tester, e quetzalmount.EndpointID) {
+				x.now = x.now.Add(time.Second)
+				for _, s := range ask("a", "v1", "c", 2).Spans[1:] {
+					x.p.Observe(e, "one", []quetzalmount.CacheEvent{{Block: s.Key}}, false, x.now)
+				}
+			}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			x := newTester(t)
+			first := ask("a", "v1", "c", 1)
+			d := x.place(first, view(8, nil))
+			if d.Hit != 0 {
+				t.Errorf("first request expects a hit of %d tokens", d.Hit)
+			}
+			x.serve(first, d)
+			if tt.then != nil {
+				tt.then(x, d.Endpoint.ID)
+			}
+			v := tt.view
+			if v == nil {
+				v = view(8, nil)
+			}
+			again := x.place(tt.req, v)
+			if got := (again.Hit + 100) / 1000 * 1000; got != tt.want {
+				t.Errorf("expected hit = %d, want about %d", again.Hit, tt.want)
+			}
+			if tt.want > 8000 && again.Endpoint.ID != d.Endpoint.ID {
+				t.Errorf("went to %s, the prefix is at %s", again.Endpoint.ID, d.Endpoint.ID)
+			}
+		})
+	}
+}
+
+// TestConfidence guards against trust in entries that the engine's eviction rate, a gap or silence make doubtful.
+func TestConfidence(t *testing.T) {
+	x := newTester(t)
+	opt := x.p.opt
+	fresh := engine{stay: 10, heard: 3000}
+	tests := []struct {
+		name     string
+		edit     func(e *engine)
+		age      time.Duration
+		low, top float64
+	}{
+		{"new entry", func(*engine) {}, 0, 1, 1},
+		{"old entry, all events", func(*engine) {}, 20 * time.Second, opt.EventTrust, 1},
+		{"old entry, gap since", func(e *engine) { e.gap = 2900 }, 20 * time.Second, 0, 0.1},
+		{"new entry, gap before", func(e *engine) { e.gap = 1000 }, time.Second, 0.99, 1},
+		{"recent entry, gap since", func(e *engine) { e.gap = 2990 }, time.Second, opt.GapTrust - 0.01, opt.GapTrust},
+		{"old entry, no events", func(e *engine) { e.heard = 0 }, 20 * time.Second, 0, 0.1},
+		{"old entry, silence", func(e *engine) { e.heard = 2000 }, 20 * time.Second, 0, 0.1},
+		{"half as old as blocks get", func(e *engine) { e.heard = 0 }, 5 * time.Second, 0.9, 1},
+		{"fast eviction", func(e *engine) { e.heard, e.stay = 0, 1 }, 5 * time.Second, 0, 0.01},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			e := fresh
+			tt.edit(&e)
+			h := holderAt(3000, tt.age)
+			if got := x.p.confidence(&e, h, 3000); got < tt.low || got > tt.top {
+				t.Errorf("confidence = %.3f, want %.2f to %.2f", got, tt.low, tt.top)
+			}
+		})
+	}
+}
+
+// TestStay guards against an eviction rate that is not learned from the growing count in the reports.
+func TestStay(t *testing.T) {
+	x := newTester(t)
+	for i := range 40 {
+		now := start.Add(time.Duration(i) * 250 * time.Millisecond)
+		x.place(ask("a", "v1", "c", uint64(i)), view(1, func(_ int, e *quetzalmount.Endpoint) {
+			e.ReportedAt, e.Load.EvictedBlocks = now, int64(i*5)
+		}))
+	}
+	if got := x.p.fleet.engines[0].stay; got < 2 || got > 3.2 {
+		t.Errorf("stay = %.2f s, want 50 blocks at 20 a second", got)
+	}
+}
+
+// TestQueue guards against a decision that ignores waiting tokens, own dispatches since the report, or a slow engine.
+func TestQueue(t *testing.T) {
+	x := newTester(t)
+	r := ask("a", "v1", "c", 1)
+	home := x.place(r, view(3, nil)).Endpoint.ID
+	busy := view(3, func(_ int, e *quetzalmount.Endpoint) {
+		if e.ID == home {
+			e.Load.QueuedTokens, e.ReportedAt = 200000, start.Add(time.Second)
+		}
+	})
+	if d := x.place(r, busy); d.Endpoint.ID == home {
+		t.Errorf("chose %s, where 200,000 tokens wait", home)
+	}
+	own := newTester(t)
+	d := own.place(r, view(3, nil))
+	for i := range 4 {
+		long := ask("b", "v1", strconv.Itoa(i), uint64(i))
+		long.PromptTokens = 50000
+		own.p.Dispatched(long, quetzalmount.Decision{Endpoint: d.Endpoint, Incarnation: d.Incarnation}, own.now)
+	}
+	if again := own.place(r, view(3, nil)); again.Endpoint.ID == home {
+		t.Errorf("chose %s, where 200,000 tokens of own requests wait", home)
+	}
+	slow := newTester(t)
+	for i := range 400 {
+		r := ask("a", "v1", strconv.Itoa(i), uint64(i))
+		r.Spans = r.Spans[3:]
+		d := slow.place(r, view(2, nil))
+		slow.p.Dispatched(r, d, slow.now)
+		slow.now = slow.now.Add(200 * time.Millisecond)
+		if d.Endpoint.ID == "e1" {
+			slow.now = slow.now.Add(400 * time.Millisecond)
+		}
+		slow.p.FirstToken(r, d, 0, slow.now)
+		slow.p.Finished(r, d, slow.now)
+	}
+	if e := slow.p.fleet.engines; e[1].cost < 1.5*e[0].cost {
+		t.Errorf("learned costs %g and %g s/token, want the second 3 times the first", e[0].cost, e[1].cost)
+	}
+}
+
+// TestTrust guards against running after reports that do not predict what requests meet.
+func TestTrust(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(1, 2))
+	good, bad := newTrust(), newTrust()
+	for range 1000 {
+		x, y := rnd.Float64()*40000, rnd.Float64()*40000
+		good.learn(x, x)
+		bad.learn(x, y)
+	}
+	if _, slope := good.line(); slope < 0.95 {
+		t.Errorf("slope of exact reports = %.2f, want 1", slope)
+	}
+	if base, slope := bad.line(); slope > 0.25 || base < 12000 || base > 28000 {
+		t.Errorf("line of useless reports = %.0f + %.2f x, want about 20000 + 0 x", base, slope)
+	}
+}
+
+// TestHotPrefix guards against a hot prefix that stays on one engine, and against a rare one that is spread.
+func TestHotPrefix(t *testing.T) {
+	x := newTester(t)
+	homes := map[string]map[quetzalmount.EndpointID]bool{"hot": {}, "rare": {}}
+	for i := range 300 {
+		name, r := "hot", ask("a", "v1", "c", uint64(i))
+		if i%30 == 0 {
+			name, r = "rare", ask("b", "v1", "c", uint64(i))
+		}
+		d := x.place(r, view(8, nil))
+		x.now = x.now.Add(10 * time.Millisecond)
+		if i > 30 {
+			homes[name][d.Endpoint.ID] = true
+			x.p.Dispatched(r, d, x.now)
+		}
+	}
+	if len(homes["hot"]) < 3 || len(homes["rare"]) > 3 {
+		t.Errorf("hot prefix on %d of 8 engines, rare one on %d", len(homes["hot"]), len(homes["rare"]))
+	}
+}
+
+// TestSlots guards against a memory that grows with the engines that came and went.
+func TestSlots(t *testing.T) {
+	f := newFleet()
+	now := start
+	for i := range 100 {
+		f.sync(view(2, func(n int, e *quetzalmount.Endpoint) {
+			e.ID = quetzalmount.EndpointID(strconv.Itoa(i) + "." + strconv.Itoa(n))
+		}), now)
+		now = now.Add(idleTime + time.Second)
+	}
+	if len(f.engines) > 4 || len(f.byID) != len(f.engines) {
+		t.Errorf("%d slots and %d ids for 2 engines at a time", len(f.engines), len(f.byID))
+	}
+}
--- /dev/null
+++ b/internal/route/place/rules_test.go
@@ -0,0 +1,170 @@
+package place
+
+import (
+	"math"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"quetzalmount.dev/quetzalmount"
+	"quetzalmount.dev/quetzalmount/internal/route/sketch"
+)
+
+// holderAt returns a holder seen age before now.
+func holderAt(now sketch.Tick, age time.Duration) sketch.Holder {
+	return sketch.Holder{Epoch: 1, Seen: now - sketch.Tick(age/sketch.TickTime)}
+}
+
+// loads follows the load of each engine from the outside: reported requests and those sent since.
+type loads map[quetzalmount.EndpointID]int
+
+// TestRules guards, for every policy, against a decision for an engine that is dead, excluded, leaving, not in the list, or
+// suspect while a live one is left; and for the router's policy against more requests than the bound at one engine while
+// another is below it.
+func TestRules(t *testing.T) {
+	for _, policy := range Policies() {
+		t.Run(policy.Name, func(t *testing.T) { rapid.Check(t, func(t *rapid.T) { checkRules(t, policy) }) })
+	}
+}
+
+func checkRules(t *rapid.T, policy Policy) {
+	p, now, rnd := policy.New(), start, rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+	n := rapid.IntRange(1, 12).Draw(t, "engines")
+	var v []*quetzalmount.Endpoint
+	sent := loads{}
+	for step := range rapid.IntRange(1, 30).Draw(t, "steps") {
+		now = now.Add(time.Duration(rapid.IntRange(1, 900).Draw(t, "pause")) * time.Millisecond)
+		if step == 0 || rapid.IntRange(0, 5).Draw(t, "report") == 0 {
+			v = drawView(t, n, now)
+			for _, e := range v {
+				sent[e.ID] = e.Load.Running + e.Load.Waiting
+			}
+		}
+		r := ask("a", "v1", strconv.Itoa(step%3), uint64(step))
+		for _, e := range v {
+			if rapid.IntRange(0, 4).Draw(t, "exclude") == 0 {
+				r.Exclude = append(r.Exclude, e.ID)
+			}
+		}
+		d, ok := p.Place(r, v, now, rnd)
+		checkDecision(t, policy, r, v, sent, d, ok)
+		if ok {
+			p.Dispatched(r, d, now)
+			sent[d.Endpoint.ID]++
+		}
+	}
+}
+
+// drawView draws a view with a report for each engine; each view has new incarnations, so that earlier dispatches are void.
+func drawView(t *rapid.T, n int, now time.Time) []*quetzalmount.Endpoint {
+	states := []quetzalmount.MemberState{
+		quetzalmount.Live, quetzalmount.Live, quetzalmount.Live, quetzalmount.Suspect, quetzalmount.Leaving,
+	}
+	return view(n, func(_ int, e *quetzalmount.Endpoint) {
+		e.State = rapid.SampledFrom(states).Draw(t, "state")
+		e.Incarnation = quetzalmount.Incarnation(now.String())
+		e.ReportedAt = now
+		e.Load.Running = rapid.IntRange(0, 60).Draw(t, "running")
+		e.Load.Waiting = rapid.IntRange(0, 10).Draw(t, "waiting")
+		e.Load.QueuedTokens = quetzalmount.Tokens(rapid.IntRange(0, 300000).Draw(t, "queued"))
+	})
+}
+
+func checkDecision(
+	t *rapid.T, policy Policy, r *quetzalmount.PlaceRequest, v []*quetzalmount.Endpoint, sent loads,
+	d quetzalmount.Decision, ok bool,
+) {
+	var live, suspect []*quetzalmount.Endpoint
+	for _, e := range v {
+		switch {
+		case excluded(e.ID, r.Exclude):
+		case e.State == quetzalmount.Live:
+			live = append(live, e)
+		case e.State == quetzalmount.Suspect:
+			suspect = append(suspect, e)
+		}
+	}
+	allowed := live
+	if len(live) == 0 {
+		allowed = suspect
+	}
+	if ok != (len(allowed) > 0) {
+		t.Fatalf("decision made: %v, engines that may take it: %d", ok, len(allowed))
+	}
+	if !ok {
+		return
+	}
+	total, found := 0, false
+	for _, e := range allowed {
+		total += sent[e.ID]
+		found = found || e == d.Endpoint
+	}
+	if !found {
+		t.Fatalf("chose %s in state %s, excluded %v", d.Endpoint.ID, d.Endpoint.State, r.Exclude)
+	}
+	if policy.Reasons[d.Reason] == "" || d.Incarnation != d.Endpoint.Incarnation {
+		t.Fatalf("reason %q is not documented, or incarnation %q is not the engine's", d.Reason, d.Incarnation)
+	}
+	if policy.Name != "expected" {
+		return
+	}
+	opt := Defaults()
+	bound := math.Max(float64(opt.LoadFloor), math.Ceil(opt.LoadFactor*float64(total+1)/float64(len(allowed))))
+	if got := float64(sent[d.Endpoint.ID] + 1); got > bound {
+		t.Fatalf("%s gets request %.0f, the bound is %.0f", d.Endpoint.ID, got, bound)
+	}
+}
+
+// TestHashMoves guards against a hash that moves keys between engines that stay.
+func TestHashMoves(t *testing.T) {
+	p := NewHash(HashShare)
+	moved := 0
+	for i := range 500 {
+		r := ask("a", "v1", "c", 0)
+		r.Spans = []quetzalmount.PrefixSpan{{Key: quetzalmount.PrefixKey(i) * 7919, End: 12500}}
+		before, _ := p.Place(r, view(9, nil), start, nil)
+		after, _ := p.Place(r, view(10, nil), start, nil)
+		if before.Endpoint.ID != after.Endpoint.ID {
+			moved++
+			if after.Endpoint.ID != "e9" {
+				t.Fatalf("key %d moved from %s to %s", i, before.Endpoint.ID, after.Endpoint.ID)
+			}
+		}
+	}
+	if moved < 25 || moved > 85 {
+		t.Errorf("%d of 500 keys moved to the tenth engine, want about 50", moved)
+	}
+}
+
+// TestConcurrent guards against data races and against counts that do not return to zero.
+func TestConcurrent(t *testing.T) {
+	p := New(Defaults())
+	var wg sync.WaitGroup
+	for g := range 8 {
+		wg.Go(func() {
+			rnd := rand.New(rand.NewPCG(uint64(g), 1))
+			for i := range 200 {
+				now := start.Add(time.Duration(i) * time.Millisecond)
+				r := ask("a", "v1", strconv.Itoa(i%5), uint64(g*1000+i))
+				d, _ := p.Place(r, view(6, nil), now, rnd)
+				p.Dispatched(r, d, now)
+				p.Observe(d.Endpoint.ID, "one", []quetzalmount.CacheEvent{{Stored: true, Block: r.Spans[0].Key}}, false, now)
+				p.FirstToken(r, d, d.Hit, now)
+				p.Finished(r, d, now)
+			}
+		})
+	}
+	wg.Wait()
+	for i := range p.fleet.engines {
+		if e := &p.fleet.engines[i]; e.inflight != 0 || e.pending > 1e-6 {
+			t.Errorf("%s has %d requests and %.1f tokens left", e.id, e.inflight, e.pending)
+		}
+	}
+	if len(p.fleet.flights) != 0 {
+		t.Errorf("%d flights left", len(p.fleet.flights))
+	}
+}
