Read the retained events of engines after a restart

The event protocol lets a reader start at the first retained event. The placer now accepts events of an engine before its first request, and the trial's new routers read up to 512 retained events, with the same losses as before. The old condition stays as the case restart-dry. Ruled out: exact hints between routers, because after a joint restart no router has any. The engine client has to start at the first retained event when a router starts.

--- a/internal/bench/trial/cases.go
+++ b/internal/bench/trial/cases.go
@@ -31,6 +31,8 @@
 	// EventLag is the mean delay of cache events, 300 ms if 0; EventLoss is the share of lost batches, 1% if 0.
 	EventLag  time.Duration
 	EventLoss float64
+	// Forgetful engines do not retain events for new readers.
+	Forgetful bool
 }
 
 func (c Case) reportLag() time.Duration {
@@ -47,7 +49,7 @@
 	return c.EventLag, c.EventLoss
 }
 
-// Cases returns the cases of section 8 of the design.
+// Cases returns the cases of section 8 of the design, and the restart once more without retained events.
 func Cases() []Case {
 	at := func(seconds ...float64) []time.Duration {
 		var d []time.Duration
@@ -63,6 +65,7 @@
 		{Name: "events", About: "30% of the event batches are lost, the others 3 s late", EventLag: 3 * time.Second,
 			EventLoss: 0.3},
 		{Name: "restart", About: "all routers restart every 10 s", Restart: at(15, 25, 35, 45, 55)},
+		{Name: "restart-dry", About: "the same, and engines retain no events", Restart: at(15, 25, 35, 45, 55), Forgetful: true},
 		{Name: "added", About: "an engine joins after 20 s", Add: 20 * time.Second},
 		{Name: "excess", About: "after 20 s a team sends 6 times its usual requests", Excess: 20 * time.Second},
 		{Name: "lag", About: "load reports are 2 s old", ReportLag: 2 * time.Second},
--- a/internal/bench/trial/engine.go
+++ b/internal/bench/trial/engine.go
@@ -16,6 +16,8 @@
 	stepTime = 4 * time.Millisecond
 	// decodeTax is how much slower prefill is when all slots are decoding.
 	decodeTax = 0.5
+	// keptEvents is the number of events that an engine retains for new readers.
+	keptEvents = 512
 	// tokenTime is the time between two tokens of one answer.
 	tokenTime = 25 * time.Millisecond
 )
@@ -51,8 +53,9 @@
 	// left is the tokens of the current prefill that remain.
 	left    quetzalmount.Tokens
 	evicted int64
-	log     []quetzalmount.CacheEvent
-	seq     int64
+	// log holds the events since the last batch, kept those that a new reader can still get.
+	log, kept []quetzalmount.CacheEvent
+	seq       int64
 }
 
 // boot starts the engine with an empty cache.
@@ -70,7 +73,7 @@
 		e.w.pool.limit += size
 		e.cache = e.w.pool
 	}
-	e.waiting, e.ready, e.busy, e.evicted, e.log = nil, nil, false, 0, nil
+	e.waiting, e.ready, e.busy, e.evicted, e.log, e.kept = nil, nil, false, 0, nil, nil
 	e.decoding = map[*job]bool{}
 }
 
--- a/internal/bench/trial/world.go
+++ b/internal/bench/trial/world.go
@@ -14,6 +14,8 @@
 	// reportTime and batchTime are the intervals of load reports and of batches of cache events.
 	reportTime = 250 * time.Millisecond
 	batchTime  = 500 * time.Millisecond
+	// lostTogether is the number of consecutive events that are lost together when a new router reads the retained ones.
+	lostTogether = 8
 	// hop is the time of a message between two processes, failTime that of a refused connection.
 	hop      = time.Millisecond
 	failTime = 5 * time.Millisecond
@@ -83,6 +85,7 @@
 		w.clock.after(at, func() {
 			for i := range w.routers {
 				w.routers[i] = newRouter(w, i)
+				w.replay(w.routers[i])
 			}
 		})
 	}
@@ -135,6 +138,8 @@
 	w.clock.after(batchTime, func() { w.publish(e) })
 	batch, inc := e.log, e.incarnation()
 	e.log = nil
+	e.kept = append(e.kept, batch...)
+	e.kept = e.kept[max(0, len(e.kept)-keptEvents):]
 	if !e.alive || len(batch) == 0 {
 		return
 	}
@@ -148,6 +153,26 @@
 	}
 }
 
+// replay sends the retained events of all engines to a new router. Those that were lost once are lost to it too.
+func (w *world) replay(r *router) {
+	if w.spec.Case.Forgetful {
+		return
+	}
+	lag, loss := w.spec.Case.events()
+	for _, e := range w.engines {
+		var batch []quetzalmount.CacheEvent
+		for i := 0; i < len(e.kept); i += lostTogether {
+			if w.net.Float64() < loss {
+				r.miss(e)
+				continue
+			}
+			batch = append(batch, e.kept[i:min(len(e.kept), i+lostTogether)]...)
+		}
+		inc := e.incarnation()
+		w.clock.after(lag/2, func() { r.observe(e, inc, batch) })
+	}
+}
+
 // held returns the most tokens of a prompt that any live engine has in its cache.
 func (w *world) held(spans []quetzalmount.PrefixSpan) quetzalmount.Tokens {
 	most := quetzalmount.Tokens(0)
--- a/internal/route/place/fleet.go
+++ b/internal/route/place/fleet.go
@@ -165,6 +165,9 @@
 		}
 		e := &f.engines[s]
 		e.seen = tick
+		if e.inc == ep.Incarnation && e.version == "" {
+			e.version = ep.Version
+		}
 		if e.inc != ep.Incarnation || e.version != ep.Version {
 			e.renew(ep.Incarnation, ep.Version)
 		}
@@ -233,6 +236,17 @@
 	return &f.engines[s], s, true
 }
 
+// known is like current, but takes over an engine that was not met before. A restarted router reads the events that
+// engines retain before it places its first request.
+func (f *fleet) known(
+	id quetzalmount.EndpointID, inc quetzalmount.Incarnation, now time.Time,
+) (*engine, sketch.Slot, bool) {
+	if _, ok := f.byID[id]; !ok {
+		f.engines[f.slot(id, f.tick(now))].inc = inc
+	}
+	return f.current(id, inc)
+}
+
 // start records a dispatch.
 func (f *fleet) start(r *quetzalmount.PlaceRequest, d quetzalmount.Decision, now time.Time) {
 	e, s, ok := f.current(d.Endpoint.ID, d.Incarnation)
--- a/internal/route/place/learn.go
+++ b/internal/route/place/learn.go
@@ -76,7 +76,7 @@
 ) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	e, slot, ok := p.fleet.current(id, inc)
+	e, slot, ok := p.fleet.known(id, inc, now)
 	if !ok {
 		return
 	}
--- a/internal/route/place/rules_test.go
+++ b/internal/route/place/rules_test.go
@@ -119,6 +119,22 @@
 	}
 }
 
+// TestReplay guards against a restarted router that ignores the retained events of engines, which come before its first
+// request, and against one that counts on them for an engine that is another incarnation by then.
+func TestReplay(t *testing.T) {
+	for inc, want := range map[quetzalmount.Incarnation]quetzalmount.Tokens{"one": 12000, "zero": 0} {
+		x := newTester(t)
+		r := ask("a", "v1", "c", 1)
+		for _, s := range r.Spans[:3] {
+			x.p.Observe("e5", inc, []quetzalmount.CacheEvent{{Stored: true, Block: s.Key}}, false, x.now)
+		}
+		d := x.place(r, view(8, nil))
+		if d.Hit != want || (want > 0 && d.Endpoint.ID != "e5") {
+			t.Errorf("events of incarnation %q: chose %s with a hit of %d, want %d", inc, d.Endpoint.ID, d.Hit, want)
+		}
+	}
+}
+
 // TestHashMoves guards against a hash that moves keys between engines that stay.
 func TestHashMoves(t *testing.T) {
 	p := NewHash(HashShare)
