Weigh entries by the share of events that are lost

Cause: after a single gap the age alone judged all older entries of an engine, although one batch in a hundred was lost. With 30% of the batches lost, entries that other routers keep in use were given up. The share of lost events is learned from their numbers. An entry without an eviction has the chance c/(c+(1-c)*loss), where c is the chance by age, at least 0.2.

--- a/internal/route/place/fleet.go
+++ b/internal/route/place/fleet.go
@@ -36,6 +36,9 @@
 	gap sketch.Tick
 	// heard is when events arrived last, 0 if none did in this epoch.
 	heard sketch.Tick
+	// loss is the share of the engine's events that are lost, last the number of the last event that arrived.
+	loss float64
+	last int64
 
 	reported time.Time
 	running  int
@@ -91,7 +94,7 @@
 	}
 	e.reported, e.rate, e.evicted, e.stay = time.Time{}, 0, 0, maxStay
 	e.inflight, e.inflightAt, e.pending, e.pendingAt, e.queued = 0, 0, 0, 0, 0
-	e.running, e.waiting, e.heard = 0, 0, 0
+	e.running, e.waiting, e.heard, e.last = 0, 0, 0, 0
 }
 
 // flight is one request at one engine.
--- a/internal/route/place/learn.go
+++ b/internal/route/place/learn.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"math"
 	"time"
 
 	"quetzalmount.dev/quetzalmount"
@@ -12,6 +13,8 @@
 	costWeight = 0.05
 	// serviceWeight is the weight of one finished request in the learned time in a slot.
 	serviceWeight = 0.02
+	// lossMemory is the number of events after which the learned share of lost ones is mostly renewed.
+	lossMemory = 200
 	// leastSample is the least number of tokens that a first token must have waited for to say something about the cost.
 	leastSample = 2000
 )
@@ -80,9 +83,10 @@
 	if !ok {
 		return
 	}
+	e.heard = p.fleet.tick(now)
+	p.lost(e, events, gap)
 	// Events describe the past. An entry that an own dispatch renewed since is newer than an eviction reported now.
 	then := p.fleet.tick(now.Add(-p.opt.EventLag))
-	e.heard = p.fleet.tick(now)
 	if gap {
 		e.gap = then
 	}
@@ -98,6 +102,24 @@
 	}
 }
 
+// lost learns the share of an engine's events that do not arrive, from their numbers.
+func (p *Expected) lost(e *engine, events []quetzalmount.CacheEvent, gap bool) {
+	if len(events) == 0 {
+		return
+	}
+	missed := int64(0)
+	switch first := events[0].Seq; {
+	case gap && e.last > 0 && first > e.last+1:
+		missed = first - e.last - 1
+	case gap:
+		missed = int64(len(events))
+	}
+	e.last = events[len(events)-1].Seq
+	n := int64(len(events)) + missed
+	w := 1 - math.Exp(-float64(n)/lossMemory)
+	e.loss += w * (float64(missed)/float64(n) - e.loss)
+}
+
 // seen returns when an engine was last known to hold a prefix.
 func (p *Expected) seen(key quetzalmount.PrefixKey, slot sketch.Slot, epoch uint16) (sketch.Tick, bool) {
 	for _, h := range p.table.Get(key) {
--- a/internal/route/place/place.go
+++ b/internal/route/place/place.go
@@ -30,11 +30,9 @@
 	// HotKeys is the number of counters for hot prefixes, HotMemory the half-life of a count.
 	HotKeys   int
 	HotMemory time.Duration
-	// GapTrust scales the confidence in entries that were seen before a gap in the engine's events.
-	GapTrust float64
-	// EventTrust is the confidence in old entries of an engine whose events arrive without gaps, and EventSilence the time
-	// without events after which they do not.
-	EventTrust   float64
+	// Kept is the least share of old blocks that the requests of other routers are assumed to keep in a cache.
+	Kept float64
+	// EventSilence is the time without events after which an engine's entries are judged by age alone.
 	EventSilence time.Duration
 	// EventLag is the assumed delay of cache events.
 	EventLag time.Duration
@@ -45,7 +43,7 @@
 	return Options{
 		Prefixes: 1 << 15, Width: 2, Stray: 0.5, Again: 2,
 		Near: 5 * time.Millisecond, LoadFactor: 2, LoadFloor: 8, HotKeys: 128, HotMemory: 30 * time.Second,
-		GapTrust: 0.7, EventTrust: 1, EventSilence: 3 * time.Second, EventLag: 500 * time.Millisecond,
+		Kept: 0.2, EventSilence: 3 * time.Second, EventLag: 500 * time.Millisecond,
 	}
 }
 
@@ -131,21 +129,22 @@
 	}
 }
 
-// confidence returns the chance that a holder still has the prefix. While all events of the engine arrive, an entry without
-// an eviction is still there, unless that is on its way. Otherwise the age decides: caches evict the least recently used
-// block, so the chance is near 1 until the age reaches the time that unused blocks stay, and falls quickly after it.
+// confidence returns the chance that a holder still has the prefix. By age alone it is near 1 until the age reaches the time
+// that unused blocks stay, since caches evict the least recently used block, and falls to the share of blocks that the
+// requests of other routers keep. That no eviction was reported makes the chance better, and certain if no event is lost.
 func (p *Expected) confidence(e *engine, h sketch.Holder, now sketch.Tick) float64 {
 	age := time.Duration(now-h.Seen) * sketch.TickTime
 	x := age.Seconds() / math.Max(e.stay, 0.001)
 	x *= x
 	c := 1 / (1 + x*x)
-	if h.Seen < e.gap {
-		return c * p.opt.GapTrust
+	switch {
+	case e.heard == 0 || time.Duration(now-e.heard)*sketch.TickTime > p.opt.EventSilence:
+		return c
+	case h.Seen >= e.gap:
+		return 1
 	}
-	if e.heard != 0 && time.Duration(now-e.heard)*sketch.TickTime < p.opt.EventSilence {
-		c = math.Max(c, p.opt.EventTrust)
-	}
-	return c
+	c = math.Max(c, p.opt.Kept)
+	return c / (c + (1-c)*e.loss)
 }
 
 // count counts the prefixes of the prompt. The whole prompt, which hardly ever comes again, counts only if it is one step.
