Make copies dearer where events do not tell of them

Cause: without events, or with many lost, other routers do not learn of copies away from home, and every router makes its own. Stray grows by Blind times the part of the caches that events do not show: the share of lost events, and the blocks that were never named since the engine or the router started.

--- a/internal/route/place/fleet.go
+++ b/internal/route/place/fleet.go
@@ -39,6 +39,8 @@
 	// loss is the share of the engine's events that are lost, last the number of the last event that arrived.
 	loss float64
 	last int64
+	// stored counts the blocks that events have named, used the blocks in the cache by the last report.
+	stored, used int64
 
 	reported time.Time
 	running  int
@@ -70,6 +72,17 @@
 // others returns the reported backlog of other routers, in tokens.
 func (e *engine) others() float64 { return math.Max(0, e.queued-e.pendingAt) }
 
+// sight returns the part of the engine's cache that its events show, from 0 to 1.
+func (e *engine) sight(now sketch.Tick, silence time.Duration) float64 {
+	if e.used == 0 {
+		return 1
+	}
+	if e.heard == 0 || time.Duration(now-e.heard)*sketch.TickTime > silence {
+		return 0
+	}
+	return (1 - e.loss) * math.Min(1, float64(e.stored)/float64(e.used))
+}
+
 // report takes over a new load report.
 func (e *engine) report(ep *quetzalmount.Endpoint) {
 	l := &ep.Load
@@ -80,7 +93,7 @@
 	e.reported, e.evicted = ep.ReportedAt, l.EvictedBlocks
 	e.running, e.waiting, e.slots = l.Running, l.Waiting, l.Slots
 	e.queued, e.pendingAt, e.inflightAt = float64(l.QueuedTokens), e.pending, e.inflight
-	e.stay = maxStay
+	e.used, e.stay = l.UsedBlocks, maxStay
 	if e.rate > 0 {
 		e.stay = math.Min(maxStay, float64(l.UsedBlocks)/e.rate)
 	}
@@ -95,6 +108,7 @@
 	e.reported, e.rate, e.evicted, e.stay = time.Time{}, 0, 0, maxStay
 	e.inflight, e.inflightAt, e.pending, e.pendingAt, e.queued = 0, 0, 0, 0, 0
 	e.running, e.waiting, e.heard, e.last = 0, 0, 0, 0
+	e.stored, e.used = 0, 0
 }
 
 // flight is one request at one engine.
--- a/internal/route/place/learn.go
+++ b/internal/route/place/learn.go
@@ -91,6 +91,9 @@
 		e.gap = then
 	}
 	for _, ev := range events {
+		if ev.Stored {
+			e.stored++
+		}
 		seen, held := p.seen(ev.Block, slot, e.epoch)
 		switch {
 		case held && seen > then:
--- a/internal/route/place/place.go
+++ b/internal/route/place/place.go
@@ -19,6 +19,8 @@
 	// Stray scales the cost of tokens that are prefilled at an engine that is not a home of the prefix: the copy takes memory
 	// and makes other prefixes miss later. The engine that follows the homes by weight pays half.
 	Stray float64
+	// Blind is added to Stray in full if no events arrive: copies that other routers do not learn of are of no use to them.
+	Blind float64
 	// Again scales the cost of tokens that are prefilled although another engine is expected to hold them.
 	Again float64
 	// Near is the difference in expected time within which engines count as equal, NearShare the same relative to the best.
@@ -41,7 +43,7 @@
 // Defaults returns the parameters in use.
 func Defaults() Options {
 	return Options{
-		Prefixes: 1 << 15, Width: 2, Stray: 0.5, Again: 2,
+		Prefixes: 1 << 15, Width: 2, Stray: 0.5, Blind: 4, Again: 2,
 		Near: 5 * time.Millisecond, LoadFactor: 2, LoadFloor: 8, HotKeys: 128, HotMemory: 30 * time.Second,
 		Kept: 0.2, EventSilence: 3 * time.Second, EventLag: 500 * time.Millisecond,
 	}
@@ -92,7 +94,7 @@
 	tick := p.fleet.tick(now)
 	p.count(r, tick)
 	p.trace(r, tick)
-	best := p.score(r, engines, state, n)
+	best := p.score(r, engines, state, n, now)
 	at, reason := p.choose(best, rnd)
 	e := p.fleet.at(at)
 	d := quetzalmount.Decision{
@@ -191,6 +193,7 @@
 // score fills in the expected times, the homes and the scores, and returns the least score.
 func (p *Expected) score(
 	r *quetzalmount.PlaceRequest, engines []*quetzalmount.Endpoint, state quetzalmount.MemberState, n int,
+	now time.Time,
 ) float64 {
 	total := 0
 	p.times, p.scores = p.times[:0], p.scores[:0]
@@ -203,6 +206,7 @@
 		}
 	}
 	bound := p.bound(total, n)
+	stray := p.stray(p.fleet.tick(now))
 	p.base, p.slope = p.trust.line()
 	for i := range engines {
 		e := p.fleet.at(i)
@@ -214,7 +218,7 @@
 			continue
 		}
 		p.times[i] = p.expect(r, e)
-		p.scores[i] = p.times[i] + p.opt.Stray*p.missing(r, e)*e.cost
+		p.scores[i] = p.times[i] + stray*p.missing(r, e)*e.cost
 	}
 	p.settle(r, n)
 	p.homes.refund(p.scores, p.times)
@@ -226,6 +230,18 @@
 	return best
 }
 
+// stray returns the cost of copies, which depends on how much of the caches the events show.
+func (p *Expected) stray(now sketch.Tick) float64 {
+	seen, n := 0.0, 0.0
+	for i, t := range p.times {
+		if !math.IsInf(t, 1) {
+			seen += p.fleet.at(i).sight(now, p.opt.EventSilence)
+			n++
+		}
+	}
+	return p.opt.Stray + p.opt.Blind*(1-seen/n)
+}
+
 // charge adds the cost of prefilling again what another engine is expected to hold, at homes and elsewhere.
 func (p *Expected) charge(r *quetzalmount.PlaceRequest) {
 	least := math.Inf(1)
--- a/internal/route/place/rules_test.go
+++ b/internal/route/place/rules_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
 	"quetzalmount.dev/quetzalmount"
@@ -135,6 +136,28 @@
 	}
 }
 
+// TestStray guards against copies away from home that cost no more when no events tell other routers of them.
+func TestStray(t *testing.T) {
+	x := newTester(t)
+	v := view(2, nil)
+	x.place(ask("a", "v1", "c", 1), v)
+	blind := x.p.stray(x.p.fleet.tick(x.now))
+	for _, e := range v {
+		events := make([]quetzalmount.CacheEvent, 25)
+		for i := range events {
+			events[i] = quetzalmount.CacheEvent{Seq: int64(i + 1), Stored: true, Block: quetzalmount.PrefixKey(i)}
+		}
+		x.p.Observe(e.ID, "one", events, false, x.now)
+	}
+	half := x.p.stray(x.p.fleet.tick(x.now))
+	late := x.p.stray(x.p.fleet.tick(x.now.Add(x.p.opt.EventSilence + time.Second)))
+	got := []float64{blind, half, late}
+	want := []float64{x.p.opt.Stray + x.p.opt.Blind, x.p.opt.Stray + x.p.opt.Blind/2, x.p.opt.Stray + x.p.opt.Blind}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("cost without events, with half of the blocks named, after silence (-want +got):\n%s", diff)
+	}
+}
+
 // TestHashMoves guards against a hash that moves keys between engines that stay.
 func TestHashMoves(t *testing.T) {
 	p := NewHash(HashShare)
