--- a/internal/bench/trial/variants.go
+++ b/internal/bench/trial/variants.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"time"
 
 	"quetzalmount.dev/quetzalmount"
 	"quetzalmount.dev/quetzalmount/internal/route/place"
@@ -22,16 +23,40 @@
 		edit(&opt)
 		all = append(all, Policy{Name: name, New: func(*world) quetzalmount.Placer { return place.New(opt) }})
 	}
-	for _, share := range []float64{0, 0.4, 0.7, 0.99} {
-		ours("expected "+strconv.FormatFloat(share, 'f', 2, 64), func(o *place.Options) { o.HomeShare = share })
+	for _, again := range []float64{0, 1, 4, 8} {
+		ours("again "+strconv.FormatFloat(again, 'f', 1, 64), func(o *place.Options) { o.Again = again })
 	}
-	for _, stray := range []float64{0, 0.5, 2, 4, 8} {
+	for _, stray := range []float64{0, 1, 2, 4, 8} {
 		ours("stray "+strconv.FormatFloat(stray, 'f', 1, 64), func(o *place.Options) { o.Stray = stray })
 	}
-	ours("no spread", func(o *place.Options) { o.HotFactor = 0 })
-	ours("spread 1", func(o *place.Options) { o.HotFactor = 1 })
-	ours("no lots", func(o *place.Options) { o.Near, o.NearShare = 0, 0 })
+	for _, width := range []float64{1, 1.5, 3, 5} {
+		ours("width "+strconv.FormatFloat(width, 'f', 1, 64), func(o *place.Options) { o.Width = width })
+	}
+	ours("kept 0", func(o *place.Options) { o.Kept = 0 })
+	ours("kept 0.5", func(o *place.Options) { o.Kept = 0.5 })
+	ours("event lag 2 s", func(o *place.Options) { o.EventLag = 2 * time.Second })
+	all = append(all, Policy{Name: "deaf", New: func(*world) quetzalmount.Placer {
+		return struct{ quetzalmount.Placer }{place.New(place.Defaults())}
+	}})
+	ours("no lots", func(o *place.Options) { o.Near = 0 })
+	ours("lots 0.1", func(o *place.Options) { o.NearShare = 0.1 })
 	ours("bound 1.25", func(o *place.Options) { o.LoadFactor, o.LoadFloor = 1.25, 1 })
-	ours("bound 4", func(o *place.Options) { o.LoadFactor = 4 })
+	ours("bound 2", func(o *place.Options) { o.LoadFactor = 2 })
+	ours("bound 8", func(o *place.Options) { o.LoadFactor = 8 })
+	return append(all, imports()...)
+}
+
+// imports returns policies whose engines import what another engine holds. The assumed costs are for 131 KB of KV cache per
+// token, as of a model with 32 layers and 8 heads of 128 values of 2 bytes: 13 us a token at 10 GB/s, 42 us at 3.1 GB/s.
+// Prefill takes 25 us a token.
+func imports() []Policy {
+	var all []Policy
+	for _, p := range Policies() {
+		for _, each := range []time.Duration{13 * time.Microsecond, 42 * time.Microsecond} {
+			if !p.Pool {
+				all = append(all, Policy{Name: p.Name + " import " + each.String(), New: p.New, Import: each})
+			}
+		}
+	}
 	return all
 }
--- a/internal/route/place/fleet.go
+++ b/internal/route/place/fleet.go
@@ -34,6 +34,13 @@
 	seen  sketch.Tick
 	// gap is when events were lost last. Entries seen before it may have been evicted without notice.
 	gap sketch.Tick
+	// heard is when events arrived last, 0 if none did in this epoch.
+	heard sketch.Tick
+	// loss is the share of the engine's events that are lost, last the number of the last event that arrived.
+	loss float64
+	last int64
+	// stored counts the blocks that events have named, used the blocks in the cache by the last report.
+	stored, used int64
 
 	reported time.Time
 	running  int
@@ -65,6 +72,17 @@
 // others returns the reported backlog of other routers, in tokens.
 func (e *engine) others() float64 { return math.Max(0, e.queued-e.pendingAt) }
 
+// sight returns the part of the engine's cache that its events show, from 0 to 1.
+func (e *engine) sight(now sketch.Tick, silence time.Duration) float64 {
+	if e.used == 0 {
+		return 1
+	}
+	if e.heard == 0 || time.Duration(now-e.heard)*sketch.TickTime > silence {
+		return 0
+	}
+	return (1 - e.loss) * math.Min(1, float64(e.stored)/float64(e.used))
+}
+
 // report takes over a new load report.
 func (e *engine) report(ep *quetzalmount.Endpoint) {
 	l := &ep.Load
@@ -75,7 +93,7 @@
 	e.reported, e.evicted = ep.ReportedAt, l.EvictedBlocks
 	e.running, e.waiting, e.slots = l.Running, l.Waiting, l.Slots
 	e.queued, e.pendingAt, e.inflightAt = float64(l.QueuedTokens), e.pending, e.inflight
-	e.stay = maxStay
+	e.used, e.stay = l.UsedBlocks, maxStay
 	if e.rate > 0 {
 		e.stay = math.Min(maxStay, float64(l.UsedBlocks)/e.rate)
 	}
@@ -89,7 +107,8 @@
 	}
 	e.reported, e.rate, e.evicted, e.stay = time.Time{}, 0, 0, maxStay
 	e.inflight, e.inflightAt, e.pending, e.pendingAt, e.queued = 0, 0, 0, 0, 0
-	e.running, e.waiting = 0, 0
+	e.running, e.waiting, e.heard, e.last = 0, 0, 0, 0
+	e.stored, e.used = 0, 0
 }
 
 // flight is one request at one engine.
@@ -97,9 +116,10 @@
 	engine  sketch.Slot
 	epoch   uint16
 	started time.Time
-	// missing is the tokens to prefill, ahead those expected before them.
-	missing, ahead float64
-	prefilled      bool
+	// missing is the tokens to prefill, own and others the backlog before them that this router had sent and that was
+	// reported of other routers.
+	missing, own, others float64
+	prefilled            bool
 }
 
 // flightID names a flight: a request may fail at one engine and be sent to the next.
@@ -162,6 +182,9 @@
 		}
 		e := &f.engines[s]
 		e.seen = tick
+		if e.inc == ep.Incarnation && e.version == "" {
+			e.version = ep.Version
+		}
 		if e.inc != ep.Incarnation || e.version != ep.Version {
 			e.renew(ep.Incarnation, ep.Version)
 		}
@@ -230,6 +253,17 @@
 	return &f.engines[s], s, true
 }
 
+// known is like current, but takes over an engine that was not met before. A restarted router reads the events that
+// engines retain before it places its first request.
+func (f *fleet) known(
+	id quetzalmount.EndpointID, inc quetzalmount.Incarnation, now time.Time,
+) (*engine, sketch.Slot, bool) {
+	if _, ok := f.byID[id]; !ok {
+		f.engines[f.slot(id, f.tick(now))].inc = inc
+	}
+	return f.current(id, inc)
+}
+
 // start records a dispatch.
 func (f *fleet) start(r *quetzalmount.PlaceRequest, d quetzalmount.Decision, now time.Time) {
 	e, s, ok := f.current(d.Endpoint.ID, d.Incarnation)
@@ -238,7 +272,7 @@
 	}
 	missing := float64(max(0, r.PromptTokens-d.Hit))
 	f.flights[flightID{r, d.Endpoint.ID}] = flight{
-		engine: s, epoch: e.epoch, started: now, missing: missing, ahead: e.pending + e.others(),
+		engine: s, epoch: e.epoch, started: now, missing: missing, own: e.pending, others: e.others(),
 	}
 	e.inflight++
 	e.pending += missing
--- a/internal/route/place/place.go
+++ b/internal/route/place/place.go
@@ -14,26 +14,28 @@
 type Options struct {
 	// Prefixes bounds the table of recent prefixes, at 80 bytes each.
 	Prefixes int
-	// HomeShare is the part of a prompt whose prefix selects the home engine.
-	HomeShare float64
+	// Width is the number of engines that serve a prefix for each engine's worth of the router's requests that it makes up.
+	Width float64
 	// Stray scales the cost of tokens that are prefilled at an engine that is not a home of the prefix: the copy takes memory
-	// and makes other prefixes miss later. The engine that follows the homes by weight pays half.
+	// and makes other prefixes miss later.
 	Stray float64
+	// Blind is added to Stray in full if no events arrive: copies that other routers do not learn of are of no use to them.
+	Blind float64
+	// Again scales the cost of tokens that are prefilled although another engine is expected to hold them.
+	Again float64
 	// Near is the difference in expected time within which engines count as equal, NearShare the same relative to the best.
 	Near      time.Duration
 	NearShare float64
 	// LoadFactor bounds the requests of an engine relative to the mean, LoadFloor is the least bound.
 	LoadFactor float64
 	LoadFloor  int
-	// HotKeys is the number of counters for hot prefixes, HotMemory the half-life of a count, HotCount the number of
-	// occurrences below which a prefix is not called hot.
+	// HotKeys is the number of counters for hot prefixes, HotMemory the half-life of a count.
 	HotKeys   int
 	HotMemory time.Duration
-	HotCount  float64
-	// HotFactor is the number of homes of a prefix for each engine's worth of the router's requests that it makes up.
-	HotFactor float64
-	// GapTrust scales the confidence in entries that were seen before a gap in the engine's events.
-	GapTrust float64
+	// Kept is the least share of old blocks that the requests of other routers are assumed to keep in a cache.
+	Kept float64
+	// EventSilence is the time without events after which an engine's entries are judged by age alone.
+	EventSilence time.Duration
 	// EventLag is the assumed delay of cache events.
 	EventLag time.Duration
 }
@@ -41,9 +43,9 @@
 // Defaults returns the parameters in use.
 func Defaults() Options {
 	return Options{
-		Prefixes: 1 << 15, HomeShare: 0.7, Stray: 1, Near: 5 * time.Millisecond, NearShare: 0.1,
-		LoadFactor: 2, LoadFloor: 8, HotKeys: 64, HotMemory: 3 * time.Second, HotCount: 4, HotFactor: 0.5,
-		GapTrust: 0.7, EventLag: time.Second,
+		Prefixes: 1 << 15, Width: 2, Stray: 0.5, Blind: 4, Again: 2,
+		Near: 5 * time.Millisecond, LoadFactor: 4, LoadFloor: 8, HotKeys: 128, HotMemory: 30 * time.Second,
+		Kept: 0.2, EventSilence: 3 * time.Second, EventLag: 500 * time.Millisecond,
 	}
 }
 
@@ -57,6 +59,9 @@
 	hot   *sketch.Hot
 	stamp uint32
 	homes homes
+	trust trust
+	// base and slope turn a reported backlog into the expected one.
+	base, slope float64
 	// times is the expected time of each engine in the list, in seconds, or +Inf if it may not be chosen. scores is the same
 	// with the cost of copies.
 	times, scores []float64
@@ -71,6 +76,7 @@
 func New(opt Options) *Expected {
 	return &Expected{
 		opt: opt, fleet: newFleet(), table: sketch.New(opt.Prefixes), hot: sketch.NewHot(opt.HotKeys, opt.HotMemory),
+		trust: newTrust(),
 	}
 }
 
@@ -86,11 +92,9 @@
 	defer p.mu.Unlock()
 	p.fleet.sync(engines, now)
 	tick := p.fleet.tick(now)
-	key := affinity(r, p.opt.HomeShare)
-	p.hot.Add(key, tick)
+	p.count(r, tick)
 	p.trace(r, tick)
-	p.homes.reset(p.spread(key, n))
-	best := p.score(r, engines, state, n, key)
+	best := p.score(r, engines, state, n, now)
 	at, reason := p.choose(best, rnd)
 	e := p.fleet.at(at)
 	d := quetzalmount.Decision{
@@ -127,33 +131,69 @@
 	}
 }
 
-// confidence returns the chance that a holder still has the prefix. Caches evict the least recently used block, so the
-// chance is near 1 until the age reaches the time that unused blocks stay, and falls quickly after it.
+// confidence returns the chance that a holder still has the prefix. By age alone it is near 1 until the age reaches the time
+// that unused blocks stay, since caches evict the least recently used block, and falls to the share of blocks that the
+// requests of other routers keep. That no eviction was reported makes the chance better, and certain if no event is lost.
 func (p *Expected) confidence(e *engine, h sketch.Holder, now sketch.Tick) float64 {
 	age := time.Duration(now-h.Seen) * sketch.TickTime
 	x := age.Seconds() / math.Max(e.stay, 0.001)
 	x *= x
 	c := 1 / (1 + x*x)
-	if h.Seen < e.gap {
-		c *= p.opt.GapTrust
+	switch {
+	case e.heard == 0 || time.Duration(now-e.heard)*sketch.TickTime > p.opt.EventSilence:
+		return c
+	case h.Seen >= e.gap:
+		return 1
 	}
-	return c
+	c = math.Max(c, p.opt.Kept)
+	return c / (c + (1-c)*e.loss)
 }
 
-// spread returns the number of homes of a prefix: one, or more if it makes up more of the requests than one of n engines
-// should serve.
-func (p *Expected) spread(key quetzalmount.PrefixKey, n int) int {
-	share, count := p.hot.Share(key)
-	if count < p.opt.HotCount {
-		return 1
+// count counts the prefixes of the prompt. The whole prompt, which hardly ever comes again, counts only if it is one step.
+func (p *Expected) count(r *quetzalmount.PlaceRequest, now sketch.Tick) {
+	p.hot.Begin(now)
+	for _, s := range shared(r) {
+		p.hot.Add(s.Key)
+	}
+}
+
+// shared returns the steps that other prompts may have in common with this one.
+func shared(r *quetzalmount.PlaceRequest) []quetzalmount.PrefixSpan {
+	if len(r.Spans) > 1 {
+		return r.Spans[:len(r.Spans)-1]
+	}
+	return r.Spans
+}
+
+// settle finds the homes of the prompt. It walks from the shortest prefix on and keeps as many engines as the share of
+// the prefix among the requests needs, chosen by weight among those kept before. So a large team is spread over several
+// engines by its contexts, a small one stays on one engine, and a hot prefix keeps several to the end. No fixed level of
+// the prompt has to be named, and the common first levels take memory on few engines only.
+func (p *Expected) settle(r *quetzalmount.PlaceRequest, n int) {
+	p.homes.reset()
+	for _, s := range shared(r) {
+		count, total := p.hot.Count(s.Key)
+		want := int(math.Ceil(p.opt.Width * float64(n) * count / total))
+		if want = max(want, 1); want > maxHomes || want >= p.homes.size(n) {
+			continue
+		}
+		if p.homes.full() {
+			p.homes.narrow(s.Key, want, p.fleet)
+			continue
+		}
+		p.homes.begin(want)
+		for at, t := range p.times {
+			if !math.IsInf(t, 1) {
+				p.homes.offer(weigh(s.Key, p.fleet.at(at).hash), at)
+			}
+		}
 	}
-	return max(1, min(int(math.Ceil(share*float64(n)*p.opt.HotFactor)), n, maxHomes))
 }
 
 // score fills in the expected times, the homes and the scores, and returns the least score.
 func (p *Expected) score(
 	r *quetzalmount.PlaceRequest, engines []*quetzalmount.Endpoint, state quetzalmount.MemberState, n int,
-	key quetzalmount.PrefixKey,
+	now time.Time,
 ) float64 {
 	total := 0
 	p.times, p.scores = p.times[:0], p.scores[:0]
@@ -166,6 +206,8 @@
 		}
 	}
 	bound := p.bound(total, n)
+	stray := p.stray(p.fleet.tick(now))
+	p.base, p.slope = p.trust.line()
 	for i := range engines {
 		e := p.fleet.at(i)
 		if p.times[i] != 0 {
@@ -176,10 +218,11 @@
 			continue
 		}
 		p.times[i] = p.expect(r, e)
-		p.scores[i] = p.times[i] + p.opt.Stray*p.missing(r, e)*e.cost
-		p.homes.offer(weigh(key, e.hash), i)
+		p.scores[i] = p.times[i] + stray*p.missing(r, e)*e.cost
 	}
+	p.settle(r, n)
 	p.homes.refund(p.scores, p.times)
+	p.charge(r)
 	best := math.Inf(1)
 	for _, s := range p.scores {
 		best = math.Min(best, s)
@@ -187,6 +230,33 @@
 	return best
 }
 
+// stray returns the cost of copies, which depends on how much of the caches the events show.
+func (p *Expected) stray(now sketch.Tick) float64 {
+	seen, n := 0.0, 0.0
+	for i, t := range p.times {
+		if !math.IsInf(t, 1) {
+			seen += p.fleet.at(i).sight(now, p.opt.EventSilence)
+			n++
+		}
+	}
+	return p.opt.Stray + p.opt.Blind*(1-seen/n)
+}
+
+// charge adds the cost of prefilling again what another engine is expected to hold, at homes and elsewhere.
+func (p *Expected) charge(r *quetzalmount.PlaceRequest) {
+	least := math.Inf(1)
+	for i, t := range p.times {
+		if !math.IsInf(t, 1) {
+			least = math.Min(least, p.missing(r, p.fleet.at(i)))
+		}
+	}
+	for i, t := range p.times {
+		if e := p.fleet.at(i); !math.IsInf(t, 1) {
+			p.scores[i] += p.opt.Again * (p.missing(r, e) - least) * e.cost
+		}
+	}
+}
+
 // bound returns the number of requests that no engine may exceed while total requests run on n engines. It is above the
 // mean, so at least one engine is below it.
 func (p *Expected) bound(total, n int) int {
@@ -196,7 +266,7 @@
 
 // expect returns the expected time to first token at an engine, in seconds.
 func (p *Expected) expect(r *quetzalmount.PlaceRequest, e *engine) float64 {
-	tokens := e.pending + e.others() + p.missing(r, e)
+	tokens := e.pending + math.Max(0, p.base+p.slope*e.others()) + p.missing(r, e)
 	wait := 0.0
 	if over := e.load() + 1 - e.slots; over > 0 && e.slots > 0 {
 		wait = float64(over) * e.service / float64(e.slots)
@@ -217,7 +287,7 @@
 func (p *Expected) choose(best float64, rnd *rand.Rand) (int, string) {
 	limit := best + math.Max(p.opt.Near.Seconds(), p.opt.NearShare*best)
 	if at := p.homes.best(p.scores); at >= 0 && p.scores[at] <= limit {
-		if p.homes.want > 1 {
+		if p.homes.n > 1 {
 			return at, reasonSpread
 		}
 		return at, reasonHome
