--- a/internal/entry/front/calls.go
+++ b/internal/entry/front/calls.go
@@ -29,7 +29,7 @@
 		e := qm.AsError(err)
 		series.Request(meter.PlainCall, e.Outcome, e.Code, time.Since(start))
 		h.deps.Log.Info("call failed", logs.RequestID, c.Request, logs.Team, c.Team, logs.Step, e.Step, logs.Peer, e.Peer,
-			logs.Outcome, e.Outcome, logs.Code, e.Code)
+			logs.Outcome, e.Outcome, logs.Code, e.Code, "Cause", e.Error())
 		return nil, e
 	}
 	series.Request(meter.PlainCall, r.Outcome, "", time.Since(start))
@@ -78,7 +78,7 @@
 	if err != nil {
 		return qm.Result{}, err
 	}
-	grant, err := h.deps.Limiter.Admit(t, qm.Cost{}, time.Now())
+	grant, err := h.deps.Admit(ctx, t, qm.Cost{})
 	if err != nil {
 		return qm.Result{}, err
 	}
--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -40,7 +40,8 @@
 	Board     *board.Board
 	Completer qm.Completer
 	Claims    qm.Claims
-	Limiter   qm.Limiter
+	// Admit takes a call from the limits of its team, or refuses.
+	Admit func(ctx context.Context, team *qm.Team, cost qm.Cost) (qm.Grant, error)
 	// Repeat runs calls that may be repeated.
 	Repeat func(ctx context.Context, c *qm.Call) (qm.Result, error)
 	Advise Advisor
--- a/internal/entry/front/front_test.go
+++ b/internal/entry/front/front_test.go
@@ -62,17 +62,17 @@
 	return qm.Result{Operation: op, Outcome: qm.Unknown}, nil
 }
 
-// limiter refuses calls of teams named "limited".
-type limiter struct{}
-
-func (limiter) Admit(t *qm.Team, _ qm.Cost, _ time.Time) (qm.Grant, error) {
+// admit refuses calls of the team "limited".
+func admit(_ context.Context, t *qm.Team, _ qm.Cost) (qm.Grant, error) {
 	if t.ID == "limited" {
 		return nil, qm.Refuse(qm.CodeRateLimit, "admit", "Too many requests.").After(time.Second)
 	}
-	return limiter{}, nil
+	return grant{}, nil
 }
 
-func (limiter) Release(qm.Tokens) {}
+type grant struct{}
+
+func (grant) Release(qm.Tokens) {}
 
 func options() front.Options {
 	return front.Options{
@@ -109,7 +109,7 @@
 			m := qm.Members{{Instance: "entry-2", Address: "127.0.0.1:2", DataCentre: "dub-a"}}
 			return advice.Answer{Members: m, Validity: 10 * time.Second}
 		},
-		Limiter: limiter{},
+		Admit: admit,
 	})
 	if err != nil {
 		t.Fatal(err)
