Do not take the first prefixes after a start for hot ones

Cause: a router's first request made up all of its requests so far, so its prefix got every engine as a home, and the next few nearly as many. Requests after a restart went anywhere. The request itself no longer counts. A prefix that needs all engines pays no Stray, and the homes of a hot prefix pay no Again. TestReuse now lets the engines' events arrive before it expects a hit away from home; its expectations are unchanged.

--- a/internal/route/place/homes.go
+++ b/internal/route/place/homes.go
@@ -55,13 +55,26 @@
 	}
 }
 
-// refund lowers the scores of the homes to their times.
+// refund lowers the scores of the homes to their times. Without a selection the prefix needs every engine.
 func (h *homes) refund(scores, times []float64) {
+	if h.n == 0 {
+		copy(scores, times)
+	}
 	for _, at := range h.places[:h.n] {
 		scores[at] = times[at]
 	}
 }
 
+// hot reports whether an engine is one of several homes.
+func (h *homes) hot(place int) bool {
+	for _, at := range h.places[:h.n] {
+		if at == place {
+			return h.n > 1
+		}
+	}
+	return h.n == 0
+}
+
 // best returns the home with the lowest score, or -1.
 func (h *homes) best(scores []float64) int {
 	best := -1
--- a/internal/route/place/place.go
+++ b/internal/route/place/place.go
@@ -173,7 +173,8 @@
 	p.homes.reset()
 	for _, s := range shared(r) {
 		count, total := p.hot.Count(s.Key)
-		want := int(math.Ceil(p.opt.Width * float64(n) * count / total))
+		// The request itself is one of those counted. A router that has just started would take its first prefixes for hot ones.
+		want := int(math.Ceil(p.opt.Width * float64(n) * (count - 1) / total))
 		if want = max(want, 1); want > maxHomes || want >= p.homes.size(n) {
 			continue
 		}
@@ -242,7 +243,8 @@
 	return p.opt.Stray + p.opt.Blind*(1-seen/n)
 }
 
-// charge adds the cost of prefilling again what another engine is expected to hold, at homes and elsewhere.
+// charge adds the cost of prefilling again what another engine is expected to hold. The homes of a hot prefix do not pay it,
+// since the prefix needs a copy at each of them.
 func (p *Expected) charge(r *quetzalmount.PlaceRequest) {
 	least := math.Inf(1)
 	for i, t := range p.times {
@@ -251,7 +253,7 @@
 		}
 	}
 	for i, t := range p.times {
-		if e := p.fleet.at(i); !math.IsInf(t, 1) {
+		if e := p.fleet.at(i); !math.IsInf(t, 1) && !p.homes.hot(i) {
 			p.scores[i] += p.opt.Again * (p.missing(r, e) - least) * e.cost
 		}
 	}
--- a/internal/route/place/place_test.go
+++ b/internal/route/place/place_test.go
@@ -69,6 +69,17 @@
 	return d
 }
 
+// hear sends events of other prompts from all engines, as many as their caches hold, so that the router is not blind.
+func (x *tester) hear(v []*quetzalmount.Endpoint) {
+	for _, e := range v {
+		events := make([]quetzalmount.CacheEvent, e.Load.UsedBlocks)
+		for i := range events {
+			events[i] = quetzalmount.CacheEvent{Seq: int64(i + 1), Stored: true, Block: quetzalmount.PrefixKey(i + 1)}
+		}
+		x.p.Observe(e.ID, e.Incarnation, events, false, x.now)
+	}
+}
+
 // TestReuse guards against decisions that count on entries of a dead incarnation, of another team or of older weights, and
 // against forgetting entries that are still good.
 func TestReuse(t *testing.T) {
@@ -119,6 +130,7 @@
 				t.Errorf("first request expects a hit of %d tokens", d.Hit)
 			}
 			x.serve(first, d)
+			x.hear(view(8, nil))
 			if tt.then != nil {
 				tt.then(x, d.Endpoint.ID)
 			}
