--- a/config.go
+++ b/config.go
@@ -59,6 +59,8 @@
 	Engines int
 	// Fences tells that the engines refuse commands with stale fencing tokens.
 	Fences bool
+	// Role is the work that the engines do: mixed, prefill or decode.
+	Role string
 }
 
 // Service is a plain service.
--- /dev/null
+++ b/internal/state/table/build.go
@@ -0,0 +1,164 @@
+package table
+
+import (
+	"encoding/hex"
+	"maps"
+	"time"
+
+	qm "quetzalmount.dev/quetzalmount"
+)
+
+// Config returns the configuration of the table. Values of rows that did not change since the last call are shared with
+// the configuration returned then, and so are whole maps.
+func (t *Table) Config() *qm.Config {
+	old := t.built
+	if old == nil {
+		old = &qm.Config{}
+	}
+	c := *old
+	c.Offset = t.applied
+	touched := make(map[Kind]bool)
+	for k := range t.dirty {
+		touched[k.Kind] = true
+	}
+	if touched[Team] || c.Teams == nil {
+		c.Teams, c.Keys = cloned(old.Teams), t.keysAfter(old)
+	}
+	if touched[Model] || c.Models == nil {
+		c.Models = cloned(old.Models)
+	}
+	if touched[Version] || c.Versions == nil {
+		c.Versions = cloned(old.Versions)
+	}
+	if touched[Group] || c.Groups == nil {
+		c.Groups = cloned(old.Groups)
+	}
+	if touched[Service] || c.Services == nil {
+		c.Services = cloned(old.Services)
+	}
+	for k := range t.dirty {
+		t.buildRow(&c, k)
+	}
+	clear(t.dirty)
+	t.built = &c
+	return &c
+}
+
+func cloned[K comparable, V any](m map[K]V) map[K]V {
+	if m == nil {
+		return make(map[K]V)
+	}
+	return maps.Clone(m)
+}
+
+// keysAfter returns the key index of old without the keys of teams that changed; buildRow adds the new ones. The index is
+// shared if no key changed.
+func (t *Table) keysAfter(old *qm.Config) map[qm.KeyHash]qm.TeamID {
+	same := old.Keys != nil
+	for k := range t.dirty {
+		if k.Kind != Team || !same {
+			continue
+		}
+		before, r := old.Teams[qm.TeamID(k.Name)], t.Row(k)
+		same = before != nil && r != nil && before.Key == keyHash(r)
+	}
+	if same {
+		return old.Keys
+	}
+	keys := cloned(old.Keys)
+	for k := range t.dirty {
+		if before := old.Teams[qm.TeamID(k.Name)]; k.Kind == Team && before != nil {
+			delete(keys, before.Key)
+		}
+	}
+	return keys
+}
+
+func (t *Table) buildRow(c *qm.Config, k Key) {
+	r := t.Row(k)
+	switch k.Kind {
+	case Team:
+		buildTeam(c, k.Name, r)
+	case Model:
+		set(c.Models, qm.ModelID(k.Name), r, model)
+	case Version:
+		set(c.Versions, qm.VersionID(k.Name), r, version)
+	case Group:
+		set(c.Groups, qm.GroupID(k.Name), r, group)
+	case Service:
+		set(c.Services, qm.ServiceID(k.Name), r, service)
+	}
+}
+
+func set[K comparable, V any](m map[K]*V, id K, r *Row, build func(K, *Row) *V) {
+	if r == nil {
+		delete(m, id)
+		return
+	}
+	m[id] = build(id, r)
+}
+
+func buildTeam(c *qm.Config, name string, r *Row) {
+	id := qm.TeamID(name)
+	if r == nil {
+		delete(c.Teams, id)
+		return
+	}
+	team := team(id, r)
+	c.Teams[id] = team
+	if c.Keys[team.Key] != id {
+		c.Keys[team.Key] = id
+	}
+}
+
+func keyHash(r *Row) (h qm.KeyHash) {
+	hex.Decode(h[:], []byte(r.Cell("Key"))) // NewRow checked the form
+	return h
+}
+
+func team(id qm.TeamID, r *Row) *qm.Team {
+	return &qm.Team{
+		ID:     id,
+		Key:    keyHash(r),
+		Weight: r.number("Weight"),
+		Limits: qm.Limits{
+			RequestsPerMinute:     r.number("RequestsPerMinute"),
+			PromptTokensPerMinute: r.number("PromptTokensPerMinute"),
+			OutputTokensPerMinute: r.number("OutputTokensPerMinute"),
+			Concurrency:           int(r.number("Concurrency")),
+			QueueLength:           int(r.number("QueueLength")),
+			MaxPromptTokens:       qm.Tokens(r.number("MaxPromptTokens")),
+		},
+	}
+}
+
+func model(id qm.ModelID, r *Row) *qm.Model {
+	m := &qm.Model{
+		ID:       id,
+		Group:    qm.GroupID(r.Cell("Group")),
+		Version:  qm.VersionID(r.Cell("Version")),
+		Continue: r.yes("Continue"),
+	}
+	for _, a := range r.names("Adapters") {
+		m.Adapters = append(m.Adapters, qm.AdapterID(a))
+	}
+	return m
+}
+
+func version(id qm.VersionID, r *Row) *qm.Version {
+	return &qm.Version{ID: id, Model: qm.ModelID(r.Cell("Model"))}
+}
+
+func group(id qm.GroupID, r *Row) *qm.Group {
+	return &qm.Group{ID: id, Engines: int(r.number("Engines")), Fences: r.yes("Fences"), Role: r.Value("Role")}
+}
+
+func service(id qm.ServiceID, r *Row) *qm.Service {
+	return &qm.Service{
+		ID:         id,
+		Repeatable: r.names("Repeatable"),
+		Fences:     r.yes("Fences"),
+		Dedupes:    r.yes("Dedupes"),
+		Timeout:    time.Duration(r.number("TimeoutMs")) * time.Millisecond,
+	}
+}
--- /dev/null
+++ b/internal/state/table/check.go
@@ -0,0 +1,98 @@
+package table
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// problems validates the rows of keys and every reference of the table. It is the one validation: the command line and
+// the fold call it, the latter with the rows that an edit touches, because rows of teams refer to nothing and a whole
+// pass over 12,000 of them for each edit would cost more than the edit. Cells were checked by NewRow.
+func (t *Table) problems(keys []Key) []Problem {
+	var out []Problem
+	references := false
+	for _, k := range keys {
+		if k.Kind != Team {
+			references = true
+			continue
+		}
+		r := t.Row(k)
+		if r == nil {
+			continue
+		}
+		if h := r.Cell("Key"); h != "" && t.hashes[h] > 1 {
+			others := t.teamsWith(h, k.Name)
+			out = append(out, Problem{Row: k, Column: "Key", Reason: "same key as team " + strings.Join(others, ", ")})
+		}
+	}
+	if references {
+		out = append(out, t.referenceProblems()...)
+	}
+	return out
+}
+
+func (t *Table) teamsWith(hash, except string) []string {
+	var out []string
+	for name, r := range t.rows[Team] {
+		if name != except && r.Cell("Key") == hash {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// referenceProblems checks the references of all rows but teams, of which a table has a few hundred.
+func (t *Table) referenceProblems() []Problem {
+	var out []Problem
+	for _, kind := range Kinds() {
+		if kind == Team {
+			continue
+		}
+		for _, name := range sortedKeys(t.rows[kind]) {
+			r := t.rows[kind][name]
+			for _, c := range layouts[kind].columns {
+				if c.Refers == "" {
+					continue
+				}
+				for _, target := range r.names(c.Name) {
+					if reason := t.refers(r, c, target); reason != "" {
+						out = append(out, Problem{Row: r.Key, Column: c.Name, Reason: reason})
+					}
+				}
+			}
+		}
+	}
+	return append(out, t.sharedGroups()...)
+}
+
+// refers returns why the reference of r to target is wrong, or an empty text.
+func (t *Table) refers(r *Row, c Column, target string) string {
+	other := t.Row(Key{Kind: c.Refers, Name: target})
+	if other == nil {
+		return fmt.Sprintf("there is no %s %q", c.Refers, target)
+	}
+	if r.Kind == Model && (c.Refers == Version || c.Refers == Adapter) && other.Cell("Model") != r.Name {
+		return fmt.Sprintf("%s %q belongs to model %q", c.Refers, target, other.Cell("Model"))
+	}
+	return ""
+}
+
+// sharedGroups finds groups that several models name. An engine has one version loaded, so a group serves one model.
+func (t *Table) sharedGroups() []Problem {
+	var out []Problem
+	first := make(map[string]string)
+	for _, name := range sortedKeys(t.rows[Model]) {
+		g := t.rows[Model][name].Cell("Group")
+		if other, ok := first[g]; ok && g != "" {
+			out = append(out, Problem{
+				Row: Key{Kind: Model, Name: name}, Column: "Group",
+				Reason: fmt.Sprintf("group %q already serves model %q", g, other),
+			})
+			continue
+		}
+		first[g] = name
+	}
+	return out
+}
--- /dev/null
+++ b/internal/state/table/diff.go
@@ -0,0 +1,94 @@
+package table
+
+import (
+	"slices"
+	"strings"
+
+	qm "quetzalmount.dev/quetzalmount"
+)
+
+// Diff returns the changes that lead from the table to the rows, ordered by kind and name. Rows of the table that are not
+// in rows are deleted if prune is set, and kept otherwise.
+func (t *Table) Diff(rows []*Row, prune bool) []Change {
+	rows = slices.Clone(rows)
+	sortRows(rows)
+	wanted := make(map[Key]bool, len(rows))
+	var out []Change
+	for _, r := range rows {
+		wanted[r.Key] = true
+		if old := t.Row(r.Key); old == nil || !old.Same(r) {
+			out = append(out, Change{Key: r.Key, Base: t.version(r.Key), Cells: r.Cells()})
+		}
+	}
+	if !prune {
+		return out
+	}
+	for _, r := range t.Rows() {
+		if !wanted[r.Key] {
+			out = append(out, Change{Key: r.Key, Base: r.Version, Delete: true})
+		}
+	}
+	return out
+}
+
+// Set returns the change that sets some cells of a row and keeps the others. The row is created if there is none.
+func (t *Table) Set(k Key, cells map[string]string) Change {
+	c := Change{Key: k, Cells: make(map[string]string)}
+	if r := t.Row(k); r != nil {
+		c.Base, c.Cells = r.Version, r.Cells()
+	}
+	for name, v := range cells {
+		if v == "" {
+			delete(c.Cells, name)
+			continue
+		}
+		c.Cells[name] = v
+	}
+	return c
+}
+
+// Changed returns the conflicts of changes with rows that changed after an offset.
+func (t *Table) Changed(changes []Change, after qm.Offset) []Conflict {
+	var out []Conflict
+	for _, c := range changes {
+		if r := t.Row(c.Key); r != nil && r.Version > after {
+			out = append(out, Conflict{Key: c.Key, Row: r})
+		}
+	}
+	return out
+}
+
+// Describe returns one line for a change: +, ~ or -, the row, and the cells that change.
+func (t *Table) Describe(c Change) string {
+	if c.Delete {
+		return "- " + c.Key.String()
+	}
+	sign, old := "~ ", map[string]string{}
+	r := t.Row(c.Key)
+	if r == nil {
+		sign = "+ "
+	} else {
+		old = r.Cells()
+	}
+	var b strings.Builder
+	b.WriteString(sign + c.Key.String())
+	for _, column := range ColumnNames() {
+		before, after := old[column], c.Cells[column]
+		if before == after {
+			continue
+		}
+		b.WriteString(" " + column + "=")
+		if r != nil {
+			b.WriteString(orDefault(before) + "->")
+		}
+		b.WriteString(orDefault(after))
+	}
+	return b.String()
+}
+
+func orDefault(v string) string {
+	if v == "" {
+		return "default"
+	}
+	return v
+}
--- /dev/null
+++ b/internal/state/table/problem.go
@@ -0,0 +1,46 @@
+package table
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Problem is one reason why a sheet or a table is not valid.
+type Problem struct {
+	// Line is the line of the sheet, 0 if there is no sheet.
+	Line int `json:",omitempty"`
+	Row  Key
+	// Column is empty if the row as a whole is meant.
+	Column string `json:",omitempty"`
+	Reason string
+}
+
+// String returns line, row, column and reason.
+func (p Problem) String() string {
+	var b strings.Builder
+	if p.Line > 0 {
+		fmt.Fprintf(&b, "line %d: ", p.Line)
+	}
+	if p.Row != (Key{}) {
+		fmt.Fprintf(&b, "%s: ", p.Row)
+	}
+	if p.Column != "" {
+		fmt.Fprintf(&b, "%s: ", p.Column)
+	}
+	b.WriteString(p.Reason)
+	return b.String()
+}
+
+// Invalid is the error for a sheet or a table with problems. It has all of them.
+type Invalid struct {
+	Problems []Problem
+}
+
+// Error returns one line for each problem.
+func (e *Invalid) Error() string {
+	lines := make([]string, len(e.Problems))
+	for i, p := range e.Problems {
+		lines[i] = p.String()
+	}
+	return fmt.Sprintf("%d problems\n%s", len(e.Problems), strings.Join(lines, "\n"))
+}
--- /dev/null
+++ b/internal/state/table/reader.go
@@ -0,0 +1,108 @@
+package table
+
+import (
+	"github.com/pkg/errors"
+
+	qm "quetzalmount.dev/quetzalmount"
+)
+
+// ErrNoSnapshot is the alert of a reader that missed records and has not found a complete snapshot yet.
+var ErrNoSnapshot = errors.New("records were dropped by retention and no complete snapshot was found yet")
+
+// ErrLogBehind is the alert of a reader that is ahead of the log, which happens only if the log lost records.
+var ErrLogBehind = errors.New("the log ends before the offset that was applied")
+
+// Reader folds batches of the log into a table. It never goes back: every step leaves the table at the same offset or a
+// higher one. It is not safe for concurrent use.
+type Reader struct {
+	table *Table
+	next  qm.Offset
+	// lost tells that records after the table's offset were dropped by retention, so that the table can only be replaced
+	// by a complete snapshot.
+	lost bool
+	gather
+}
+
+// NewReader returns a reader before the first record.
+func NewReader() *Reader { return &Reader{table: New(), next: 1} }
+
+// Table returns the reader's table, which later calls change.
+func (r *Reader) Table() *Table { return r.table }
+
+// Next returns the offset to read from.
+func (r *Reader) Next() qm.Offset { return r.next }
+
+// Lost reports whether records are missing, so that the table is older than what the log still has.
+func (r *Reader) Lost() bool { return r.lost }
+
+// Feed folds a batch that was read from an earlier or the current value of Next. It returns what became of each record
+// that was folded; the error is an alert.
+func (r *Reader) Feed(b qm.Batch) ([]Verdict, error) {
+	if b.Next < r.next {
+		return nil, errors.WithMessagef(ErrLogBehind, "log ends at %d, next is %d", b.Next, r.next)
+	}
+	var alert error
+	if b.First > r.next {
+		if !r.lost {
+			alert = errors.WithMessagef(ErrNoSnapshot, "first retained offset is %d, next is %d", b.First, r.next)
+		}
+		r.lost, r.next = true, b.First
+	}
+	var out []Verdict
+	for _, rec := range b.Records {
+		if rec.Offset < r.next {
+			continue
+		}
+		if rec.Offset > r.next {
+			return out, errors.WithMessagef(ErrOrder, "offset %d, next is %d", rec.Offset, r.next)
+		}
+		if r.lost {
+			r.next++
+			if r.search(rec, b.First) {
+				return out, nil // what follows the snapshot's offset is read again
+			}
+			continue
+		}
+		v, err := r.table.Apply(rec)
+		if err != nil {
+			return out, err
+		}
+		r.next++
+		out = append(out, v)
+	}
+	return out, alert
+}
+
+// search looks for the end of a complete snapshot from which on the log has all records, and loads it.
+func (r *Reader) search(rec qm.Record, first qm.Offset) bool {
+	e, err := DecodeEntry(rec.Data)
+	if err != nil {
+		return false
+	}
+	if e.Part != nil {
+		r.gather.add(e.Part)
+	}
+	if e.Mark == nil || e.Mark.CoversTo+1 < first || e.Mark.CoversTo >= rec.Offset {
+		return false
+	}
+	if r.table.load(e.Mark, r.gather.of(e.Mark)) != nil {
+		return false
+	}
+	r.resume()
+	return true
+}
+
+// Advance applies a delta of a peer.
+func (r *Reader) Advance(d *Delta) error {
+	if err := r.table.Advance(d); err != nil {
+		return err
+	}
+	r.resume()
+	return nil
+}
+
+func (r *Reader) resume() {
+	r.next = r.table.applied + 1
+	r.lost = false
+	r.gather = gather{}
+}
--- /dev/null
+++ b/internal/state/table/record.go
@@ -0,0 +1,136 @@
+package table
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+
+	"github.com/pkg/errors"
+
+	qm "quetzalmount.dev/quetzalmount"
+)
+
+// format is the version of the record format. A reader skips records of any other.
+const format = 1
+
+// Change is a wish to change one row.
+type Change struct {
+	Key
+	// Base is the version of the row that the change is based on, 0 for a row that is not in the table.
+	Base qm.Offset
+	// Delete removes the row; Cells is empty then.
+	Delete bool `json:",omitempty"`
+	// Cells are all cells of the row after the change.
+	Cells map[string]string `json:",omitempty"`
+}
+
+// Edit is the record of an edit. It is accepted or refused as a whole.
+type Edit struct {
+	Attempt qm.AttemptID
+	// Seen is the offset of the table that the writer knew. It bounds how late the record may take effect.
+	Seen    qm.Offset
+	Changes []Change
+}
+
+// Void is the record that keeps an attempt from taking effect at any later offset.
+type Void struct {
+	Attempt qm.AttemptID
+}
+
+// Part is one record of a snapshot.
+type Part struct {
+	Snapshot qm.AttemptID
+	// CoversTo is the offset of the table that was written.
+	CoversTo qm.Offset
+	Index    int
+	Rows     []*Row    `json:",omitempty"`
+	Attempts []Attempt `json:",omitempty"`
+}
+
+// Mark is the last record of a snapshot. A snapshot is complete if its parts are as many as Parts says, have as many rows
+// as Rows says, and add up to the Digest.
+type Mark struct {
+	Snapshot qm.AttemptID
+	CoversTo qm.Offset
+	Parts    int
+	Rows     int
+	Digest   uint64
+}
+
+// Entry is the content of a record; exactly one pointer is set.
+type Entry struct {
+	Format int
+	Edit   *Edit `json:",omitempty"`
+	Void   *Void `json:",omitempty"`
+	Part   *Part `json:",omitempty"`
+	Mark   *Mark `json:",omitempty"`
+}
+
+// Encode returns the data of a record.
+func (e *Entry) Encode() ([]byte, error) {
+	e.Format = format
+	data, err := json.Marshal(e)
+	return data, errors.Wrap(err, "encode record")
+}
+
+// DecodeEntry returns the content of a record. What it refuses every reader skips, so it depends on the data alone.
+func DecodeEntry(data []byte) (*Entry, error) {
+	var e Entry
+	if err := strictJSON(data, &e); err != nil {
+		return nil, errors.Wrap(err, "decode record")
+	}
+	if e.Format != format {
+		return nil, errors.Errorf("decode record: format %d, want %d", e.Format, format)
+	}
+	set := 0
+	for _, is := range []bool{e.Edit != nil, e.Void != nil, e.Part != nil, e.Mark != nil} {
+		if is {
+			set++
+		}
+	}
+	if set != 1 {
+		return nil, errors.Errorf("decode record: %d contents, want 1", set)
+	}
+	if e.attempt() == "" {
+		return nil, errors.New("decode record: no attempt id")
+	}
+	if e.Part != nil && hasNil(e.Part.Rows) {
+		return nil, errors.New("decode record: empty row")
+	}
+	return &e, nil
+}
+
+// strictJSON decodes one JSON value and refuses unknown fields and trailing data.
+func strictJSON(data []byte, v any) error {
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		return err
+	}
+	if _, err := d.Token(); err != io.EOF {
+		return errors.New("data after the end")
+	}
+	return nil
+}
+
+func hasNil(rows []*Row) bool {
+	for _, r := range rows {
+		if r == nil || r.Kind == "" {
+			return true
+		}
+	}
+	return false
+}
+
+func (e *Entry) attempt() qm.AttemptID {
+	switch {
+	case e.Edit != nil:
+		return e.Edit.Attempt
+	case e.Void != nil:
+		return e.Void.Attempt
+	case e.Part != nil:
+		return e.Part.Snapshot
+	default:
+		return e.Mark.Snapshot
+	}
+}
--- /dev/null
+++ b/internal/state/table/sheet.go
@@ -0,0 +1,173 @@
+package table
+
+import (
+	"bufio"
+	"encoding/csv"
+	"fmt"
+	"io"
+
+	"github.com/pkg/errors"
+)
+
+// Sheet is the content of a valid sheet.
+type Sheet struct {
+	Rows  []*Row
+	lines map[Key]int
+}
+
+// ReadSheet reads a CSV sheet and validates it as a whole table. An *Invalid has all problems of the sheet.
+func ReadSheet(r io.Reader) (*Sheet, error) {
+	p := &parser{sheet: &Sheet{lines: make(map[Key]int)}}
+	if err := p.read(r); err != nil {
+		return nil, err
+	}
+	// References are checked over the rows that could be read, so that one bad cell does not hide a wrong reference.
+	t := New()
+	for _, row := range p.sheet.Rows {
+		t.put(row)
+	}
+	for _, problem := range t.problems(p.sheet.keys()) {
+		if p.broken[problem.Row] {
+			continue
+		}
+		problem.Line = p.sheet.lines[problem.Row]
+		p.problems = append(p.problems, problem)
+	}
+	if len(p.problems) > 0 {
+		return nil, &Invalid{Problems: p.problems}
+	}
+	return p.sheet, nil
+}
+
+func (s *Sheet) keys() []Key {
+	out := make([]Key, len(s.Rows))
+	for i, r := range s.Rows {
+		out[i] = r.Key
+	}
+	return out
+}
+
+type parser struct {
+	sheet    *Sheet
+	header   []string
+	broken   map[Key]bool
+	problems []Problem
+}
+
+func (p *parser) fail(line int, key Key, column, format string, args ...any) {
+	p.problems = append(p.problems, Problem{Line: line, Row: key, Column: column, Reason: fmt.Sprintf(format, args...)})
+}
+
+func (p *parser) read(r io.Reader) error {
+	p.broken = make(map[Key]bool)
+	buf := bufio.NewReader(r)
+	if mark, err := buf.Peek(3); err == nil && string(mark) == "\ufeff" {
+		buf.Discard(3) // spreadsheet programs put a byte order mark first
+	}
+	c := csv.NewReader(buf)
+	c.FieldsPerRecord = -1 // a wrong number of fields is reported as a problem of its line
+	for {
+		fields, err := c.Read()
+		if err == io.EOF {
+			break
+		}
+		var syntax *csv.ParseError
+		if errors.As(err, &syntax) {
+			p.fail(syntax.Line, Key{}, "", "%v", syntax.Err)
+			continue
+		}
+		if err != nil {
+			return errors.Wrap(err, "read sheet")
+		}
+		line, _ := c.FieldPos(0)
+		if p.header == nil {
+			p.setHeader(line, fields)
+			continue
+		}
+		p.row(line, fields)
+	}
+	if p.header == nil {
+		p.fail(1, Key{}, "", "the sheet has no header line")
+	}
+	return nil
+}
+
+func (p *parser) setHeader(line int, fields []string) {
+	known, seen := make(map[string]bool), make(map[string]bool)
+	for _, n := range ColumnNames() {
+		known[n] = true
+	}
+	for _, f := range fields {
+		switch {
+		case !known[f]:
+			p.fail(line, Key{}, f, "no kind of row has a column of this name")
+		case seen[f]:
+			p.fail(line, Key{}, f, "the column is there twice")
+		}
+		seen[f] = true
+	}
+	for _, f := range []string{"Kind", "Name"} {
+		if !seen[f] {
+			p.fail(line, Key{}, f, "the column is missing")
+		}
+	}
+	p.header = append([]string{}, fields...)
+}
+
+func (p *parser) row(line int, fields []string) {
+	if len(fields) != len(p.header) {
+		p.fail(line, Key{}, "", "%d fields, but the header has %d", len(fields), len(p.header))
+		return
+	}
+	var key Key
+	cells := make(map[string]string)
+	for i, f := range fields {
+		switch p.header[i] {
+		case "Kind":
+			key.Kind = Kind(f)
+		case "Name":
+			key.Name = f
+		default:
+			if f != "" {
+				cells[p.header[i]] = f
+			}
+		}
+	}
+	if first, ok := p.sheet.lines[key]; ok {
+		p.fail(line, key, "", "the row is also on line %d", first)
+		return
+	}
+	p.sheet.lines[key] = line
+	row, problems := NewRow(key, cells)
+	for _, problem := range problems {
+		problem.Line = line
+		p.problems = append(p.problems, problem)
+	}
+	p.broken[key] = len(problems) > 0
+	if row != nil {
+		p.sheet.Rows = append(p.sheet.Rows, row)
+	}
+}
+
+// WriteSheet writes rows as a CSV sheet, ordered by kind and name.
+func WriteSheet(w io.Writer, rows []*Row) error {
+	rows = append([]*Row(nil), rows...)
+	sortRows(rows)
+	c := csv.NewWriter(w)
+	header := ColumnNames()
+	if err := c.Write(header); err != nil {
+		return errors.Wrap(err, "write sheet")
+	}
+	fields := make([]string, len(header))
+	for _, r := range rows {
+		fields[0], fields[1] = string(r.Kind), r.Name
+		for i, column := range header[2:] {
+			fields[i+2] = r.Cell(column)
+		}
+		if err := c.Write(fields); err != nil {
+			return errors.Wrap(err, "write sheet")
+		}
+	}
+	c.Flush()
+	return errors.Wrap(c.Error(), "write sheet")
+}
--- /dev/null
+++ b/internal/state/table/snapshot.go
@@ -0,0 +1,125 @@
+package table
+
+import (
+	"github.com/pkg/errors"
+
+	qm "quetzalmount.dev/quetzalmount"
+)
+
+// Bounds of the records of a snapshot. Log services commonly take records of up to 1 MB; a row of a team has about 300
+// bytes, so a part of 64 KB has about 200 rows.
+const (
+	partRows     = 200
+	partAttempts = 600
+)
+
+// Snapshot returns the records of a snapshot of the table, the last one being the mark.
+func (t *Table) Snapshot(id qm.AttemptID) ([][]byte, error) {
+	rows, tries := t.Rows(), t.attempts.order
+	mark := &Mark{Snapshot: id, CoversTo: t.applied, Rows: len(rows), Digest: t.digest}
+	var out [][]byte
+	add := func(e *Entry) error {
+		data, err := e.Encode()
+		out = append(out, data)
+		return err
+	}
+	for len(rows) > 0 || len(tries) > 0 {
+		p := &Part{Snapshot: id, CoversTo: t.applied, Index: mark.Parts}
+		if n := min(len(rows), partRows); n > 0 {
+			p.Rows, rows = rows[:n], rows[n:]
+		} else {
+			n = min(len(tries), partAttempts)
+			p.Attempts, tries = tries[:n], tries[n:]
+		}
+		mark.Parts++
+		if err := add(&Entry{Part: p}); err != nil {
+			return nil, err
+		}
+	}
+	return out, add(&Entry{Mark: mark})
+}
+
+// load replaces the content of the table by that of a snapshot, if it is complete and of a higher offset.
+func (t *Table) load(m *Mark, parts []*Part) error {
+	if m.CoversTo <= t.applied {
+		return errors.Errorf("snapshot of offset %d is not newer than %d", m.CoversTo, t.applied)
+	}
+	n := New()
+	n.applied = m.CoversTo
+	for _, p := range parts {
+		for _, r := range p.Rows {
+			n.put(r)
+		}
+		for _, a := range p.Attempts {
+			n.decide(a)
+		}
+	}
+	if len(parts) != m.Parts || n.count() != m.Rows || n.digest != m.Digest {
+		return errors.Errorf("snapshot of offset %d is not complete: %d of %d parts, %d of %d rows",
+			m.CoversTo, len(parts), m.Parts, n.count(), m.Rows)
+	}
+	n.gone.since = m.CoversTo
+	t.become(n)
+	return nil
+}
+
+// become takes over the content of n. Unchanged rows keep their built values.
+func (t *Table) become(n *Table) {
+	for k := range t.dirty {
+		n.dirty[k] = true
+	}
+	for kind, m := range t.rows {
+		for name, r := range m {
+			k := Key{Kind: kind, Name: name}
+			other := n.Row(k)
+			switch {
+			case other == nil:
+				n.dirty[k] = true
+			case other.Same(r) && !t.dirty[k]:
+				delete(n.dirty, k)
+			}
+		}
+	}
+	n.built = t.built
+	*t = *n
+}
+
+// gather collects the parts of snapshots until one is complete.
+type gather struct {
+	parts map[qm.AttemptID]map[int]*Part
+	order []qm.AttemptID
+}
+
+// openSnapshots bounds the snapshots that are collected at the same time; more are in the log only if as many writers
+// failed in the middle.
+const openSnapshots = 4
+
+func (g *gather) add(p *Part) {
+	if g.parts == nil {
+		g.parts = make(map[qm.AttemptID]map[int]*Part)
+	}
+	m, ok := g.parts[p.Snapshot]
+	if !ok {
+		if len(g.order) == openSnapshots {
+			delete(g.parts, g.order[0])
+			g.order = g.order[1:]
+		}
+		m = make(map[int]*Part)
+		g.parts[p.Snapshot] = m
+		g.order = append(g.order, p.Snapshot)
+	}
+	m[p.Index] = p
+}
+
+// of returns the parts that were collected for a mark.
+func (g *gather) of(m *Mark) []*Part {
+	var out []*Part
+	for i := range m.Parts {
+		p, ok := g.parts[m.Snapshot][i]
+		if !ok || p.CoversTo != m.CoversTo {
+			break
+		}
+		out = append(out, p)
+	}
+	return out
+}
