Follow the configuration stream and edit the table through the log

Cause: every router needs the accepted table within seconds and must never go back; an operator needs to know whether an edit won although answers of the log get lost.

The controller reads the log and asks peers at the same time. Its first table is published only when the end of the log was reached or a peer gave one, because an earlier part of the log would be a step back from before the restart.

Ruled out: an outage longer than the retention time in the schedules. It stays an alert for operators.

--- /dev/null
+++ b/internal/state/config/keep.go
@@ -0,0 +1,78 @@
+package config
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	qm "quetzalmount.dev/quetzalmount"
+)
+
+// mark is the time of a snapshot.
+type mark struct{ written, seen time.Time }
+
+// age is the larger of the ages by the log service's clock and by the local one, so that a service clock that is ahead
+// does not delay the next snapshot for longer than one retention time.
+func (m mark) age() time.Duration { return max(time.Since(m.written), time.Since(m.seen)) }
+
+// Bounds of the interval at which the controller looks whether a snapshot is due: often enough for short retention, and
+// not often enough to be noticed.
+const (
+	keepShortest = 100 * time.Millisecond
+	keepLongest  = 30 * time.Second
+	// looksPerRetention makes a snapshot start at most 5% of the retention time late.
+	looksPerRetention = 20
+)
+
+// keep writes snapshots at half of the retention time while this instance is the owner.
+func (c *Controller) keep(ctx context.Context) {
+	interval := min(max(c.opts.Retention/looksPerRetention, keepShortest), keepLongest)
+	for sleep(ctx, interval) {
+		if !c.opts.Owner() || !c.due() {
+			continue
+		}
+		if err := c.writeSnapshot(ctx); err != nil {
+			c.opts.Logger.Info("snapshot not written, will be tried again", "Error", err.Error())
+		}
+	}
+}
+
+// due reports whether a snapshot should be written: none was seen yet, or the last one is half as old as the log keeps
+// it. A table that misses records of the log must not be written.
+func (c *Controller) due() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.published == 0 || c.reader.Lost() {
+		return false
+	}
+	return c.marked.seen.IsZero() || c.marked.age() >= c.opts.Retention/2
+}
+
+// writeSnapshot appends the table in parts. After an append of unknown outcome it gives up; the next attempt has a new id,
+// so that parts of both are never mixed.
+func (c *Controller) writeSnapshot(ctx context.Context) error {
+	c.mu.Lock()
+	records, err := c.reader.Table().Snapshot(c.opts.NewAttempt(), c.opts.PartRows)
+	c.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	var p pause
+	for len(records) > 0 {
+		n := min(len(records), c.opts.PartsPerAppend)
+		_, err := c.opts.Log.Append(ctx, Stream, records[:n])
+		if errors.Is(err, qm.ErrNotAppended) && c.opts.Owner() && p.wait(ctx) {
+			continue
+		}
+		if err != nil {
+			return errors.Wrap(err, "append snapshot")
+		}
+		p.reset()
+		records = records[n:]
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.marked = mark{written: time.Now(), seen: time.Now()}
+	return nil
+}
--- /dev/null
+++ b/internal/state/config/peers.go
@@ -0,0 +1,84 @@
+package config
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	qm "quetzalmount.dev/quetzalmount"
+	"quetzalmount.dev/quetzalmount/internal/state/table"
+)
+
+// ask takes the table from peers while there is none, while records are lost, and while a peer is ahead.
+func (c *Controller) ask(ctx context.Context) {
+	behind := false
+	for ctx.Err() == nil {
+		urgent, ahead := c.behind()
+		if urgent || ahead && behind {
+			c.fetch(ctx)
+		}
+		behind = ahead
+		sleep(ctx, peerInterval)
+	}
+}
+
+// behind reports whether the log alone does not help, and whether a peer is ahead.
+func (c *Controller) behind() (urgent, ahead bool) {
+	members, _ := c.opts.Board.Members.Load()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, m := range members {
+		ahead = ahead || !m.Self && m.TableOffset > c.published
+	}
+	return c.published == 0 || c.reader.Lost(), ahead
+}
+
+func (c *Controller) fetch(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	c.mu.Lock()
+	after := c.reader.Table().Offset()
+	if c.whole {
+		after = 0
+	}
+	c.mu.Unlock()
+	data, _, err := c.opts.Fetch(ctx, after)
+	if err != nil {
+		c.opts.Logger.V(1).Info("no table from peers", "Error", err.Error())
+		return
+	}
+	if len(data) == 0 {
+		return
+	}
+	if err := c.advance(data); err != nil {
+		c.opts.Logger.Error(err, "table of a peer refused")
+	}
+}
+
+func (c *Controller) advance(data []byte) error {
+	d, err := table.DecodeDelta(data)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err != nil {
+		c.alerts++
+		return errors.WithMessage(err, "take table of a peer")
+	}
+	if d.CoversTo <= c.reader.Table().Offset() {
+		return nil // the log was faster
+	}
+	if err := c.reader.Advance(d); err != nil {
+		c.alerts++
+		c.whole = d.Base > 0
+		return errors.WithMessage(err, "take table of a peer")
+	}
+	c.whole = false
+	c.publish()
+	return nil
+}
+
+// Offset returns the offset of the table in force, which peers report to each other.
+func (c *Controller) Offset() qm.Offset {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.published
+}
--- a/internal/state/table/fold_test.go
+++ b/internal/state/table/fold_test.go
@@ -202,3 +202,21 @@
 		checkConfig(t, whole.Table())
 	})
 }
+
+// TestAdvanceRefusesPart guards against a delta that a peer cut short.
+func TestAdvanceRefusesPart(t *testing.T) {
+	a := table.New()
+	if _, err := a.Apply(record(t, 1, edit("a", 0, change("x", 0, "2"), change("y", 0, "3")))); err != nil {
+		t.Fatal(err)
+	}
+	for name, cut := range map[string]func(d *table.Delta){
+		"row":     func(d *table.Delta) { d.Rows, d.Count = d.Rows[:1], 1 },
+		"attempt": func(d *table.Delta) { d.Attempts = nil },
+	} {
+		d, b := a.Delta(0), table.New()
+		cut(d)
+		if err := b.Advance(d); err == nil || b.Offset() != 0 {
+			t.Errorf("delta without its %s: offset %d, error %v", name, b.Offset(), err)
+		}
+	}
+}
--- a/internal/state/table/snapshot.go
+++ b/internal/state/table/snapshot.go
@@ -6,15 +6,16 @@
 	qm "quetzalmount.dev/quetzalmount"
 )
 
-// Bounds of the records of a snapshot. Log services commonly take records of up to 1 MB; a row of a team has about 300
-// bytes, so a part of 64 KB has about 200 rows.
-const (
-	partRows     = 200
-	partAttempts = 600
-)
+// PartRows is the usual number of rows in one record of a snapshot. Log services commonly take records of up to 1 MB; a
+// row of a team has about 300 bytes, so a part has about 64 KB.
+const PartRows = 200
+
+// attemptsPerRow is how many attempts take about the space of one row.
+const attemptsPerRow = 3
 
-// Snapshot returns the records of a snapshot of the table, the last one being the mark.
-func (t *Table) Snapshot(id qm.AttemptID) ([][]byte, error) {
+// Snapshot returns the records of a snapshot of the table with at most partRows rows in each, the last one being the
+// mark.
+func (t *Table) Snapshot(id qm.AttemptID, partRows int) ([][]byte, error) {
 	rows, tries := t.Rows(), t.attempts.order
 	mark := &Mark{Snapshot: id, CoversTo: t.applied, Rows: len(rows), Digest: t.digest}
 	var out [][]byte
@@ -28,7 +29,7 @@
 		if n := min(len(rows), partRows); n > 0 {
 			p.Rows, rows = rows[:n], rows[n:]
 		} else {
-			n = min(len(tries), partAttempts)
+			n = min(len(tries), partRows*attemptsPerRow)
 			p.Attempts, tries = tries[:n], tries[n:]
 		}
 		mark.Parts++
