Tell callers when the answer of a done call was not kept

Cause: a repeated call whose answer was too large to be recorded looked like one with an empty answer. Ruled out: keeping answers of any size, which the bound on a shard's memory forbids. Conclusion: the operation has AnswerDropped.

--- a/internal/entry/front/calls.go
+++ b/internal/entry/front/calls.go
@@ -134,6 +134,9 @@
 	if r.Repeated {
 		op.Repeated = caller.NewOptBool(true)
 	}
+	if r.AnswerDropped {
+		op.AnswerDropped = caller.NewOptBool(true)
+	}
 	return op
 }
 
--- a/internal/wire/caller/oas_json_gen.go
+++ b/internal/wire/caller/oas_json_gen.go
@@ -2087,14 +2087,21 @@
 			s.Repeated.Encode(e)
 		}
 	}
+	{
+		if s.AnswerDropped.Set {
+			e.FieldStart("AnswerDropped")
+			s.AnswerDropped.Encode(e)
+		}
+	}
 }
 
-var jsonFieldsNameOfOperation = [5]string{
+var jsonFieldsNameOfOperation = [6]string{
 	0: "Operation",
 	1: "Outcome",
 	2: "Status",
 	3: "Answer",
 	4: "Repeated",
+	5: "AnswerDropped",
 }
 
 // Decode decodes Operation from json.
@@ -2159,6 +2166,16 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"Repeated\"")
 			}
+		case "AnswerDropped":
+			if err := func() error {
+				s.AnswerDropped.Reset()
+				if err := s.AnswerDropped.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"AnswerDropped\"")
+			}
 		default:
 			return d.Skip()
 		}
--- a/internal/wire/caller/oas_schemas_gen.go
+++ b/internal/wire/caller/oas_schemas_gen.go
@@ -787,6 +787,8 @@
 	Answer jx.Raw `json:"Answer"`
 	// True if the answer is that of an earlier call with the same key.
 	Repeated OptBool `json:"Repeated"`
+	// True if the call is done but its answer was too large or too old to be kept.
+	AnswerDropped OptBool `json:"AnswerDropped"`
 }
 
 // GetOperation returns the value of Operation.
@@ -814,6 +816,11 @@
 	return s.Repeated
 }
 
+// GetAnswerDropped returns the value of AnswerDropped.
+func (s *Operation) GetAnswerDropped() OptBool {
+	return s.AnswerDropped
+}
+
 // SetOperation sets the value of Operation.
 func (s *Operation) SetOperation(val string) {
 	s.Operation = val
@@ -839,6 +846,11 @@
 	s.Repeated = val
 }
 
+// SetAnswerDropped sets the value of AnswerDropped.
+func (s *Operation) SetAnswerDropped(val OptBool) {
+	s.AnswerDropped = val
+}
+
 // NewOptBool returns new OptBool with value set to v.
 func NewOptBool(v bool) OptBool {
 	return OptBool{
