--- /dev/null
+++ b/internal/client/engine/control_test.go
@@ -0,0 +1,136 @@
+package engine_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/pkg/errors"
+
+	qm "quetzalmount.dev/quetzalmount"
+	"quetzalmount.dev/quetzalmount/internal/client/engine"
+	"quetzalmount.dev/quetzalmount/internal/client/pool"
+	"quetzalmount.dev/quetzalmount/internal/standin/engsrv"
+	"quetzalmount.dev/quetzalmount/internal/standin/kvsrv"
+	"quetzalmount.dev/quetzalmount/internal/standin/wgtsrv"
+)
+
+func code(err error) qm.Code {
+	var e *qm.Error
+	if errors.As(err, &e) {
+		return e.Code
+	}
+	return ""
+}
+
+// TestKVTransfer guards against blocks that reach another engine under another salt, and counts events of the import.
+func TestKVTransfer(t *testing.T) {
+	store := httptest.NewServer(kvsrv.New(kvsrv.Options{}).Handler())
+	defer store.Close()
+	o := engsrv.Options{CapacityBlocks: 4, Cache: strings.TrimPrefix(store.URL, "http://")}
+	_, a := start(t, o)
+	_, b := start(t, o)
+	c := engine.New(pool.Options{})
+	defer c.Close()
+	ctx := context.Background()
+	req := request("r")
+	req.CacheSalt, req.Blocks = "team", []qm.PrefixSpan{{Key: 1, End: 2}, {Key: 1<<63 + 5, End: 3}}
+	r, err := c.Start(ctx, a, req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := read(t, r); err != nil {
+		t.Fatal(err)
+	}
+	keys := []qm.PrefixKey{1, 1<<63 + 5, 9}
+	moved := func(f func(context.Context, *qm.Endpoint, string, []qm.PrefixKey) (int, error), e *qm.Endpoint, salt string) int {
+		n, err := f(ctx, e, salt, keys)
+		if err != nil {
+			t.Error(err)
+		}
+		return n
+	}
+	got := []int{moved(c.Export, a, "other"), moved(c.Export, a, "team"), moved(c.Import, b, "other"), moved(c.Import, b, "team")}
+	if diff := cmp.Diff([]int{0, 2, 0, 2}, got); diff != "" {
+		t.Errorf("blocks moved (-want +got):\n%s", diff)
+	}
+	ev, err := c.Events(ctx, b, 1, 10)
+	want := []qm.CacheEvent{{Seq: 1, Stored: true, Block: 1}, {Seq: 2, Stored: true, Block: 1<<63 + 5}}
+	if diff := cmp.Diff(want, ev.Events); diff != "" || err != nil || ev.Next != 3 || ev.Gap {
+		t.Errorf("Events() = %+v, %v (-want +got):\n%s", ev, err, diff)
+	}
+}
+
+// TestCommandsOverLoopback guards against a roll-out that does not see a refused command, a stale fencing token, or the end
+// of a load from the weight store.
+func TestCommandsOverLoopback(t *testing.T) {
+	weights := httptest.NewServer(wgtsrv.New(wgtsrv.Options{Load: 10 * time.Millisecond}).Handler())
+	defer weights.Close()
+	s, e := start(t, engsrv.Options{Version: "v1", Fences: true, Weights: strings.TrimPrefix(weights.URL, "http://")})
+	c := engine.New(pool.Options{})
+	defer c.Close()
+	ctx := context.Background()
+	s.SetFaults(engsrv.Faults{RefuseCommands: true})
+	if err := c.Desire(ctx, e, engine.Desired{Fence: 4, Version: "v2"}); code(err) != qm.CodeEndpoint {
+		t.Errorf("refused command = %v", err)
+	}
+	s.SetFaults(engsrv.Faults{})
+	if err := c.Desire(ctx, e, engine.Desired{Fence: 4, Version: "v2", Adapters: []qm.AdapterID{"a"}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Desire(ctx, e, engine.Desired{Fence: 3}); code(err) != qm.CodeConflict {
+		t.Errorf("stale command = %v, want a conflict", err)
+	}
+	for {
+		l, err := c.Load(ctx, e)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if l.Version == "v2" {
+			break // or the test times out
+		}
+		time.Sleep(time.Millisecond)
+	}
+	s.Leave(true)
+	l, err := c.Load(ctx, e)
+	if err != nil || !l.Leaving || !cmp.Equal(l.Adapters, []qm.AdapterID{"a"}) || l.Incarnation != s.Incarnation() || l.Slots != 8 {
+		t.Errorf("Load() = %+v, %v", l, err)
+	}
+	_, err = c.Start(ctx, e, request("r"))
+	if got := qm.AsError(err); got.Code != qm.CodeNoEndpoint || got.Outcome != qm.NotRun || got.RetryAfter != time.Second {
+		t.Errorf("request to a leaving engine = %+v", got)
+	}
+}
+
+// TestStartOutcome guards against a request reported as not run although the engine took it.
+func TestStartOutcome(t *testing.T) {
+	s, e := start(t, engsrv.Options{Slots: 1, DecodePerToken: time.Hour})
+	c := engine.New(pool.Options{})
+	defer c.Close()
+	ctx := context.Background()
+	r, err := c.Start(ctx, e, request("r1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close()
+	if _, err := c.Start(ctx, e, request("r2")); code(err) != qm.CodeQueueFull || qm.AsError(err).Outcome != qm.NotRun {
+		t.Errorf("request to a full engine = %v", err)
+	}
+	if _, err := c.Resume(ctx, e, "another", "r1", 0); code(err) != qm.CodeNotFound {
+		t.Errorf("resume at another incarnation = %v", err)
+	}
+	if err := c.Cancel(ctx, e, "unknown"); err != nil {
+		t.Errorf("cancel of an unknown request = %v", err)
+	}
+	s.Crash(time.Hour)
+	_, err = c.Start(ctx, e, request("r3"))
+	if qm.AsError(err).Outcome != qm.Unknown {
+		t.Errorf("request that was read and not answered = %v, want outcome Unknown", err)
+	}
+	if _, err := r.Next(ctx); err == nil {
+		t.Error("a stream survived the crash of its engine")
+	}
+}
