Stop stand-ins without waiting for long polls, and test the program and late answers

Cause: a stopping log stand-in waited up to 10 s for its long polls, and Retry-After was a fraction of a second, which RFC 9110 does not allow. Ruled out: ending all contexts at a stop, because a stopping engine finishes its streams. The random fault schedules now also crash, slow down and stall whole engines in the middle of an answer.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -35,6 +35,3 @@
 func address() cli.Flag {
 	return &cli.StringFlag{Name: "addr", Usage: "listen on `HOST:PORT`", Required: true}
 }
-
-// nothing is the leaving function of stand-ins that have no such state.
-func nothing() {}
--- /dev/null
+++ b/cmd/standin/main_test.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// TestCommands guards against subcommands whose flags do not parse, that serve nothing, or that do not stop.
+func TestCommands(t *testing.T) {
+	list := filepath.Join(t.TempDir(), "instances.json")
+	if err := os.WriteFile(list, []byte(`{"Instances":[{"Id":"e1","Kind":"Engine","Address":"a:1"}]}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	tests := []struct {
+		args []string
+		path string
+	}{
+		{[]string{"log", "--rate", "300", "--retention", "1m"}, "/v1/streams/config/records"},
+		{[]string{"list", "--file", list, "--lag", "2s"}, "/v1/instances"},
+		{[]string{"engine", "--model", "m", "--adapter", "a", "--fence", "--load-lag", "0s"}, "/v1/load"},
+		{[]string{"service", "--dedupe", "--fence", "--work", "1ms"}, "/v1/operations/op"},
+		{[]string{"weights", "--load", "1ms", "--rate", "5"}, "/v1/weights/m/v1"},
+		{[]string{"cache", "--blocks", "10", "--transfer", "0s"}, "/admin/faults"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.args[0], func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			addr := l.Addr().String()
+			_ = l.Close()
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan error, 1)
+			go func() { done <- command().Run(ctx, append([]string{"standin"}, append(tt.args, "--addr", addr)...)) }()
+			status := 0
+			for status == 0 && len(done) == 0 {
+				if resp, err := http.Get("http://" + addr + tt.path); err == nil {
+					status = resp.StatusCode
+					_ = resp.Body.Close()
+				}
+				time.Sleep(time.Millisecond)
+			}
+			cancel()
+			if err := <-done; err != nil || status != http.StatusOK {
+				t.Errorf("status %d, stopped with %v", status, err)
+			}
+		})
+	}
+}
--- a/cmd/standin/stores.go
+++ b/cmd/standin/stores.go
@@ -27,7 +27,7 @@
 			s := logsrv.New(logsrv.Options{
 				AppendsPerSecond: c.Float("rate"), Retention: c.Duration("retention"), Random: rand.Float64,
 			})
-			return serve.Run(ctx, c.String("addr"), logsrv.Handler(s), nothing)
+			return serve.Run(ctx, c.String("addr"), logsrv.Handler(s), nil)
 		},
 	}
 }
@@ -48,7 +48,7 @@
 					return err
 				}
 			}
-			return serve.Run(ctx, c.String("addr"), lstsrv.New(content, c.Duration("lag")).Handler(), nothing)
+			return serve.Run(ctx, c.String("addr"), lstsrv.New(content, c.Duration("lag")).Handler(), nil)
 		},
 	}
 }
@@ -64,7 +64,7 @@
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			s := plnsrv.New(plnsrv.Options{Dedupes: c.Bool("dedupe"), Fences: c.Bool("fence"), Work: c.Duration("work")})
-			return serve.Run(ctx, c.String("addr"), s.Handler(), nothing)
+			return serve.Run(ctx, c.String("addr"), s.Handler(), nil)
 		},
 	}
 }
@@ -79,7 +79,7 @@
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			s := wgtsrv.New(wgtsrv.Options{Load: c.Duration("load"), RequestsPerSecond: c.Float("rate")})
-			return serve.Run(ctx, c.String("addr"), s.Handler(), nothing)
+			return serve.Run(ctx, c.String("addr"), s.Handler(), nil)
 		},
 	}
 }
@@ -94,7 +94,7 @@
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			s := kvsrv.New(kvsrv.Options{CapacityBlocks: c.Int("blocks"), Transfer: c.Duration("transfer")})
-			return serve.Run(ctx, c.String("addr"), s.Handler(), nothing)
+			return serve.Run(ctx, c.String("addr"), s.Handler(), nil)
 		},
 	}
 }
--- a/internal/client/plain/plain_test.go
+++ b/internal/client/plain/plain_test.go
@@ -206,6 +206,34 @@
 	}
 }
 
+// TestLateAnswer guards against a late answer to an abandoned call that is given to the next call on the same connection.
+func TestLateAnswer(t *testing.T) {
+	for _, name := range []string{"pay", "look"} {
+		s := plnsrv.New(plnsrv.Options{})
+		h := httptest.NewServer(s.Handler())
+		c := plain.New(pool.Options{})
+		e := &qm.Endpoint{Address: strings.TrimPrefix(h.URL, "http://")}
+		s.SetFaults(plnsrv.Faults{LateMs: 50})
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() {
+			for s.Executions()["op1"] == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			cancel()
+		}()
+		_, _, err := c.Call(ctx, e, "op1", newCall(name, "r1"))
+		if got := qm.AsError(err); got.Outcome != qm.Unknown || got.Operation != "op1" {
+			t.Errorf("%s: abandoned call = %+v, want outcome Unknown", name, got)
+		}
+		status, answer, err := c.Call(context.Background(), e, "op2", newCall(name, "r2"))
+		if err != nil || status != 200 || !strings.Contains(string(answer), `"op2"`) {
+			t.Errorf("%s: next call = %d, %s, %v", name, status, answer, err)
+		}
+		_ = c.Close()
+		h.Close()
+	}
+}
+
 // TestNotSentStaysTrue guards against a connection that is opened after the call was reported as not run and then carries
 // it.
 func TestNotSentStaysTrue(t *testing.T) {
--- a/internal/route/stream/loop_test.go
+++ b/internal/route/stream/loop_test.go
@@ -37,7 +37,7 @@
 		r.engines, r.servers = append(r.engines, s), append(r.servers, h)
 		r.endpoints = append(r.endpoints, &qm.Endpoint{ID: qm.EndpointID(fmt.Sprint("e", i)), Address: strings.TrimPrefix(h.URL, "http://")})
 	}
-	r.streamer = stream.New(r.client, stream.Options{FirstToken: 2 * time.Second, Progress: 40 * time.Millisecond, Resumes: 10, Moves: 20, Backoff: time.Microsecond})
+	r.streamer = stream.New(r.client, stream.Options{FirstToken: 2 * time.Second, Progress: 40 * time.Millisecond, Resumes: 10, Moves: 20, Backoff: time.Millisecond})
 	return r
 }
 
@@ -160,6 +160,18 @@
 	connFault := rapid.Custom(func(t *rapid.T) engsrv.ConnFault {
 		return engsrv.ConnFault{Kind: kinds.Draw(t, "kind"), After: rapid.Int64Range(0, 20).Draw(t, "after")}
 	})
+	// whole is a fault of all connections of an engine, at a chunk of the answer.
+	type whole struct {
+		Chunk  int64
+		Engine int
+		Faults engsrv.Faults
+	}
+	wholeFault := rapid.Custom(func(t *rapid.T) whole {
+		w := whole{Chunk: rapid.Int64Range(0, 39).Draw(t, "chunk"), Engine: rapid.IntRange(0, 2).Draw(t, "engine")}
+		w.Faults.Crash, w.Faults.Stall = rapid.Bool().Draw(t, "crash"), rapid.Bool().Draw(t, "stall")
+		w.Faults.DownMs, w.Faults.Slow = rapid.Int64Range(0, 5).Draw(t, "down"), float64(rapid.IntRange(0, 20).Draw(t, "slow"))
+		return w
+	})
 	rapid.Check(t, func(t *rapid.T) {
 		r := newRig(rapid.IntRange(1, 3).Draw(t, "engines"))
 		defer r.close()
@@ -169,7 +181,16 @@
 		cont := rapid.Bool().Draw(t, "continue")
 		req := prompt(rapid.StringN(1, 8, 16).Draw(t, "prompt"))
 		want := engsrv.Text(req.Messages, 40)
-		got, sum, err := r.run(context.Background(), req, cont, nil)
+		later := rapid.SliceOfN(wholeFault, 0, 3).Draw(t, "later")
+		got, sum, err := r.run(context.Background(), req, cont, func(c qm.Chunk) {
+			for _, w := range later {
+				if w.Chunk == c.Number {
+					s := r.engines[w.Engine%len(r.engines)]
+					w.Faults.Connections = s.Faults().Connections
+					s.SetFaults(w.Faults)
+				}
+			}
+		})
 		var e *qm.Error
 		switch {
 		case !strings.HasPrefix(want, got):
--- a/internal/standin/engsrv/core.go
+++ b/internal/standin/engsrv/core.go
@@ -15,7 +15,7 @@
 // refusal is an answer that refuses a request.
 type refusal struct {
 	status int
-	after  float64 // seconds, 0 for none
+	after  int // seconds, 0 for none
 	msg    string
 }
 
@@ -124,7 +124,7 @@
 	case version != "" && version != c.version:
 		return nil, &refusal{404, 0, "engine serves version " + string(c.version)}
 	case c.running >= c.opts.Slots && len(c.waiting) >= c.opts.QueueLength:
-		return nil, &refusal{429, 0.2, "queue is full"}
+		return nil, &refusal{429, 1, "queue is full"}
 	}
 	j.ctx, j.cancel = context.WithCancel(c.ctx)
 	j.start, j.news, j.produced = make(chan struct{}), make(chan struct{}), j.from
--- a/internal/standin/logsrv/http.go
+++ b/internal/standin/logsrv/http.go
@@ -12,7 +12,7 @@
 )
 
 // retrySeconds is the Retry-After of an append above the rate.
-const retrySeconds = 0.1
+const retrySeconds = 1
 
 // readLimit is the number of records that a read without max returns at most.
 const readLimit = 1000
--- a/internal/standin/serve/serve.go
+++ b/internal/standin/serve/serve.go
@@ -25,10 +25,11 @@
 	_ = json.NewEncoder(w).Encode(v)
 }
 
-// Refuse writes an error answer. after is the number of seconds until a retry makes sense, 0 for none.
-func Refuse(w http.ResponseWriter, status int, after float64, msg string) {
+// Refuse writes an error answer. after is the number of seconds until a retry makes sense, 0 for none. It is a whole number,
+// as RFC 9110 has it.
+func Refuse(w http.ResponseWriter, status, after int, msg string) {
 	if after > 0 {
-		w.Header().Set("Retry-After", strconv.FormatFloat(after, 'g', 4, 64))
+		w.Header().Set("Retry-After", strconv.Itoa(after))
 	}
 	JSON(w, status, struct{ Message string }{msg})
 }
@@ -81,13 +82,18 @@
 	}
 }
 
-// Run serves h on addr until ctx ends. leaving is called first, then open requests get time to finish.
+// Run serves h on addr until ctx ends. Open requests then get time to finish, after leaving was called. If leaving is nil
+// their contexts end at once, so that long polls do not hold the stop up.
 func Run(ctx context.Context, addr string, h http.Handler, leaving func()) error {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
 	srv := &http.Server{Handler: h, ReadHeaderTimeout: stopTime}
+	if leaving == nil {
+		srv.BaseContext = func(net.Listener) context.Context { return ctx }
+		leaving = func() {}
+	}
 	done := make(chan error, 1)
 	go func() { done <- srv.Serve(l) }()
 	select {
