--- a/internal/route/place/place.go
+++ b/internal/route/place/place.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"quetzalmount.dev/quetzalmount"
 	"quetzalmount.dev/quetzalmount/internal/route/sketch"
 )
@@ -92,9 +94,10 @@
 	defer p.mu.Unlock()
 	p.fleet.sync(engines, now)
 	tick := p.fleet.tick(now)
-	p.count(r, tick)
+	group := quetzalmount.PrefixKey(xxhash.Sum64String(string(engines[0].Group)))
+	p.count(r, group, tick)
 	p.trace(r, tick)
-	best := p.score(r, engines, state, n, now)
+	best := p.score(r, engines, state, n, group, tick)
 	at, reason := p.choose(best, rnd)
 	e := p.fleet.at(at)
 	d := quetzalmount.Decision{
@@ -149,9 +152,11 @@
 	return c / (c + (1-c)*e.loss)
 }
 
-// count counts the prefixes of the prompt. The whole prompt, which hardly ever comes again, counts only if it is one step.
-func (p *Expected) count(r *quetzalmount.PlaceRequest, now sketch.Tick) {
-	p.hot.Begin(now)
+// count counts the prefixes of the prompt and the requests of the group, of which they have a share. The whole prompt, which
+// hardly ever comes again, counts only if it is one step.
+func (p *Expected) count(r *quetzalmount.PlaceRequest, group quetzalmount.PrefixKey, now sketch.Tick) {
+	p.hot.Decay(now)
+	p.hot.Add(group)
 	for _, s := range shared(r) {
 		p.hot.Add(s.Key)
 	}
@@ -169,10 +174,11 @@
 // the prefix among the requests needs, chosen by weight among those kept before. So a large team is spread over several
 // engines by its contexts, a small one stays on one engine, and a hot prefix keeps several to the end. No fixed level of
 // the prompt has to be named, and the common first levels take memory on few engines only.
-func (p *Expected) settle(r *quetzalmount.PlaceRequest, n int) {
+func (p *Expected) settle(r *quetzalmount.PlaceRequest, group quetzalmount.PrefixKey, n int) {
 	p.homes.reset()
+	total := math.Max(1, p.hot.Count(group))
 	for _, s := range shared(r) {
-		count, total := p.hot.Count(s.Key)
+		count := p.hot.Count(s.Key)
 		// The request itself is one of those counted. A router that has just started would take its first prefixes for hot ones.
 		want := int(math.Ceil(p.opt.Width * float64(n) * (count - 1) / total))
 		if want = max(want, 1); want > maxHomes || want >= p.homes.size(n) {
@@ -194,7 +200,7 @@
 // score fills in the expected times, the homes and the scores, and returns the least score.
 func (p *Expected) score(
 	r *quetzalmount.PlaceRequest, engines []*quetzalmount.Endpoint, state quetzalmount.MemberState, n int,
-	now time.Time,
+	group quetzalmount.PrefixKey, now sketch.Tick,
 ) float64 {
 	total := 0
 	p.times, p.scores = p.times[:0], p.scores[:0]
@@ -207,7 +213,7 @@
 		}
 	}
 	bound := p.bound(total, n)
-	stray := p.stray(p.fleet.tick(now))
+	stray := p.stray(now)
 	p.base, p.slope = p.trust.line()
 	for i := range engines {
 		e := p.fleet.at(i)
@@ -221,7 +227,7 @@
 		p.times[i] = p.expect(r, e)
 		p.scores[i] = p.times[i] + stray*p.missing(r, e)*e.cost
 	}
-	p.settle(r, n)
+	p.settle(r, group, n)
 	p.homes.refund(p.scores, p.times)
 	p.charge(r)
 	best := math.Inf(1)
--- a/internal/route/place/place_test.go
+++ b/internal/route/place/place_test.go
@@ -283,6 +283,12 @@
 		if i%30 == 0 {
 			name, r = "rare", ask("b", "v1", "c", uint64(i))
 		}
+		for j := range uint64(10) {
+			// The requests of other groups say nothing about this one.
+			x.place(ask("d", "v1", strconv.Itoa(i), j), view(8, func(_ int, e *quetzalmount.Endpoint) {
+				e.ID, e.Group = "x"+e.ID, "other"
+			}))
+		}
 		d := x.place(r, view(8, nil))
 		x.now = x.now.Add(10 * time.Millisecond)
 		if i > 30 {
--- a/internal/route/sketch/hot.go
+++ b/internal/route/sketch/hot.go
@@ -13,7 +13,6 @@
 	keys   []quetzalmount.PrefixKey
 	counts []float64
 	errs   []float64
-	total  float64
 	half   time.Duration
 	last   Tick
 }
@@ -25,12 +24,6 @@
 	}
 }
 
-// Begin starts the next request, of which each key is counted once at most.
-func (h *Hot) Begin(now Tick) {
-	h.decay(now)
-	h.total++
-}
-
 // Add counts one occurrence of key.
 func (h *Hot) Add(key quetzalmount.PrefixKey) {
 	low := 0
@@ -47,27 +40,26 @@
 	h.counts[low]++
 }
 
-// decay scales the counts at most once in a sixteenth of a half-life, which keeps Begin cheap.
-func (h *Hot) decay(now Tick) {
+// Decay ages the counts. It does so at most once in a sixteenth of a half-life, which keeps it cheap.
+func (h *Hot) Decay(now Tick) {
 	age := time.Duration(now-h.last) * TickTime
 	if age < h.half/16 {
 		return
 	}
 	h.last = now
 	f := math.Exp2(-float64(age) / float64(h.half))
-	h.total *= f
 	for i := range h.counts {
 		h.counts[i] *= f
 		h.errs[i] *= f
 	}
 }
 
-// Count returns a lower bound of the number of requests with key, and the number of all requests.
-func (h *Hot) Count(key quetzalmount.PrefixKey) (count, total float64) {
+// Count returns a lower bound of the occurrences of key.
+func (h *Hot) Count(key quetzalmount.PrefixKey) float64 {
 	for i, k := range h.keys {
 		if k == key && h.counts[i] > 0 {
-			return h.counts[i] - h.errs[i], h.total
+			return h.counts[i] - h.errs[i]
 		}
 	}
-	return 0, h.total
+	return 0
 }
--- a/internal/route/sketch/sketch_test.go
+++ b/internal/route/sketch/sketch_test.go
@@ -75,19 +75,20 @@
 // TestHot guards against a hot prefix that hides among many rare ones, and against one that stays hot after a shift.
 func TestHot(t *testing.T) {
 	h := NewHot(32, time.Second)
+	const all = quetzalmount.PrefixKey(5)
 	send := func(hot quetzalmount.PrefixKey, from, to Tick) {
 		for now := from; now < to; now++ {
-			h.Begin(now)
+			h.Decay(now)
+			h.Add(all)
 			h.Add(hot)
 			for i := range quetzalmount.PrefixKey(3) {
-				h.Begin(now)
+				h.Add(all)
 				h.Add(1000 + quetzalmount.PrefixKey(now)*3 + i)
 			}
 		}
 	}
 	share := func(key quetzalmount.PrefixKey) float64 {
-		count, total := h.Count(key)
-		return count / total
+		return h.Count(key) / h.Count(all)
 	}
 	send(1, 0, 500)
 	if got := share(1); math.Abs(got-0.25) > 0.01 {
@@ -111,7 +112,7 @@
 		tab.Add(key, Slot(now%12), 1, now)
 		tab.Get(key)
 		tab.Drop(key-7919*5, Slot(now%12))
-		hot.Begin(now)
+		hot.Decay(now)
 		hot.Add(key)
 	})
 	if got != 0 {
