Add the table subcommands

Cause: operators edit the table by script and by hand and must tell a lost race from an unknown outcome.

Ruled out: a version column in the sheet, because the sheet is kept in version control and versions are offsets of one log. Conclusion: set, apply and delete report accepted with the offset, refused with the winning rows, or unknown.

--- /dev/null
+++ b/internal/cli/sheet/print.go
@@ -0,0 +1,133 @@
+package sheet
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	qm "quetzalmount.dev/quetzalmount"
+	"quetzalmount.dev/quetzalmount/internal/state/config"
+	"quetzalmount.dev/quetzalmount/internal/state/table"
+)
+
+// render writes v as JSON or, by the function, as text.
+func render(c *cli.Command, v any, text func(w io.Writer) error) error {
+	w := c.Root().Writer
+	if c.String("output") != "json" {
+		return text(w)
+	}
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	e.SetEscapeHTML(false)
+	return e.Encode(v)
+}
+
+// report is the output of an edit.
+type report struct {
+	Result  config.Result
+	Attempt qm.AttemptID `json:",omitempty"`
+	Offset  qm.Offset    `json:",omitempty"`
+	Rows    []outcome
+	// Problems are the reasons of an edit that would break the table.
+	Problems []table.Problem `json:",omitempty"`
+	Cause    string          `json:",omitempty"`
+}
+
+// outcome is that of one row of an edit.
+type outcome struct {
+	Kind   table.Kind
+	Name   string
+	Change string
+	// Lost tells that the row changed under the edit; Winner is the row then, empty if it was deleted.
+	Lost   bool       `json:",omitempty"`
+	Winner *table.Row `json:",omitempty"`
+}
+
+// newReport describes what became of changes, whose descriptions were made before the edit.
+func newReport(out config.Outcome, changes []table.Change, texts []string) *report {
+	r := &report{Rows: []outcome{}, Result: out.Result, Attempt: out.Attempt, Offset: out.Offset, Problems: out.Problems}
+	if out.Cause != nil {
+		r.Cause = out.Cause.Error()
+	}
+	lost := make(map[table.Key]table.Conflict)
+	for _, c := range out.Conflicts {
+		lost[c.Key] = c
+	}
+	for i, c := range changes {
+		o := outcome{Kind: c.Kind, Name: c.Name, Change: texts[i]}
+		if l, ok := lost[c.Key]; ok {
+			o.Lost, o.Winner = true, l.Row
+		}
+		r.Rows = append(r.Rows, o)
+	}
+	return r
+}
+
+func (r *report) text(w io.Writer) error {
+	var b strings.Builder
+	switch r.Result {
+	case config.Accepted:
+		if len(r.Rows) == 0 {
+			fmt.Fprintf(&b, "nothing to change at offset %d\n", r.Offset)
+			break
+		}
+		fmt.Fprintf(&b, "accepted at offset %d\n", r.Offset)
+	case config.Refused:
+		b.WriteString("refused, nothing was changed\n")
+	case config.NotApplied:
+		fmt.Fprintf(&b, "not applied, nothing was changed: %s\n", r.Cause)
+	case config.Unknown:
+		fmt.Fprintf(&b, "unknown: attempt %s may be accepted later: %s\n", r.Attempt, r.Cause)
+	}
+	for _, o := range r.Rows {
+		fmt.Fprintf(&b, "  %s\n", o.Change)
+		switch {
+		case o.Lost && o.Winner == nil:
+			b.WriteString("    lost: the row is not in the table\n")
+		case o.Lost:
+			fmt.Fprintf(&b, "    lost: the row is at version %d: %s\n", o.Winner.Version, rowText(o.Winner))
+		}
+	}
+	for _, p := range r.Problems {
+		fmt.Fprintf(&b, "  problem: %s\n", p)
+	}
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+func rowText(r *table.Row) string {
+	var cells []string
+	for _, column := range table.ColumnNames() {
+		if v := r.Cell(column); v != "" {
+			cells = append(cells, column+"="+v)
+		}
+	}
+	return strings.Join(cells, " ")
+}
+
+// err returns the failure that the report stands for.
+func (r *report) err() error {
+	lost := 0
+	for _, o := range r.Rows {
+		if o.Lost {
+			lost++
+		}
+	}
+	switch {
+	case r.Result == config.Accepted:
+		return nil
+	case r.Result == config.Unknown:
+		return fail(ExitUnknown, "the outcome of the edit is unknown")
+	case r.Result == config.NotApplied:
+		return fail(ExitFailed, "the edit was not applied")
+	case lost > 0:
+		return fail(ExitLostRace, "the edit lost: %d rows were changed by others", lost)
+	case len(r.Problems) > 0:
+		return fail(ExitInvalid, "the edit would break the table")
+	default:
+		return fail(ExitLostRace, "the edit was refused")
+	}
+}
--- a/internal/state/table/cell.go
+++ b/internal/state/table/cell.go
@@ -114,7 +114,7 @@
 		return "64 hex digits"
 	case Name, Names:
 		if c.Refers != "" {
-			return "name of a " + string(c.Refers) + " row"
+			return "existing " + string(c.Refers)
 		}
 	}
 	return "letters, digits, - . _ : /"
