Assemble the router and run the whole path as processes

Cause: the parts were tested alone; a prompt has to go from a caller to an engine and back through processes that talk over TCP. The router is assembled from its settings, with three listeners, and stops without cutting a request. Conclusion: the path is whole but thin: no fair queue, breakers, retry budget or engine commands yet. The wait for the first token on a silent connection is the next thing to mend.

--- a/internal/cli/sheet/wait.go
+++ b/internal/cli/sheet/wait.go
@@ -25,10 +25,18 @@
 )
 
 func (a *app) wait() *cli.Command {
-	return sub("wait", "OFFSET", "wait until a change is in force at all instances",
-		"Asks the operators' interface of each instance until its table has the offset.\n"+
-			example("quetzalmount table wait 17 --instances 127.0.0.1:8081,127.0.0.2:8081 --within 4s"),
-		1, 1, func(ctx context.Context, c *cli.Command) error {
+	return sub("wait", "[OFFSET]", "wait until a change is in force at all instances",
+		"Asks the operators' interface of each instance until its table has the offset, or all that the log holds now.\n"+
+			example("quetzalmount table wait 17 --instances 127.0.0.1:8081,127.0.0.2:8081 --within 4s",
+				"quetzalmount table wait --log 127.0.0.1:7001 --instances 127.0.0.1:8081,127.0.0.2:8081"),
+		0, 1, func(ctx context.Context, c *cli.Command) error {
+			if c.NArg() == 0 {
+				_, t, err := a.editor(ctx, c)
+				if err != nil {
+					return err
+				}
+				return a.inForce(ctx, c, t.Offset())
+			}
 			off, err := strconv.ParseInt(c.Args().First(), 10, 64)
 			if err != nil || off < 1 {
 				return fail(ExitInvalid, "%q is not an offset", c.Args().First())
--- /dev/null
+++ b/internal/cli/verbs/serve.go
@@ -0,0 +1,88 @@
+package verbs
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"quetzalmount.dev/quetzalmount/internal/entry/server"
+	"quetzalmount.dev/quetzalmount/internal/infra/conf"
+	"quetzalmount.dev/quetzalmount/internal/infra/logs"
+	"quetzalmount.dev/quetzalmount/internal/state/table"
+)
+
+func settingsFlag() cli.Flag {
+	return &cli.StringFlag{
+		Name: "settings", Usage: "INI `FILE` with the settings of this process", Sources: cli.EnvVars("QUETZALMOUNT_SETTINGS"),
+	}
+}
+
+func serveCommand(stdout io.Writer) *cli.Command {
+	return &cli.Command{
+		Name: "serve", Usage: "run the router until SIGTERM, then finish all requests and exit",
+		UsageText: "quetzalmount serve --settings /etc/quetzalmount/router.ini",
+		Flags:     []cli.Flag{settingsFlag()},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			if c.String("settings") == "" {
+				return usage("serve needs --settings FILE")
+			}
+			settings, err := conf.Load(c.String("settings"))
+			if err != nil {
+				return err
+			}
+			log, err := logs.New(stdout, settings.LogLevel)
+			if err != nil {
+				return err
+			}
+			s, err := server.New(settings, Version, log)
+			if err != nil {
+				return err
+			}
+			return s.Run(ctx)
+		},
+	}
+}
+
+func checkCommand(stdout io.Writer) *cli.Command {
+	return &cli.Command{
+		Name: "check", Usage: "check settings and a sheet without contacting anything",
+		UsageText: "quetzalmount check --settings router.ini --sheet table.csv",
+		Flags: []cli.Flag{
+			settingsFlag(), &cli.StringFlag{Name: "sheet", Usage: "CSV `FILE` with the configuration table"},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			if c.String("settings") == "" && c.String("sheet") == "" {
+				return usage("check needs --settings FILE or --sheet FILE")
+			}
+			if f := c.String("settings"); f != "" {
+				if _, err := conf.Load(f); err != nil {
+					return err
+				}
+				fmt.Fprintf(stdout, "%s: valid\n", f)
+			}
+			if f := c.String("sheet"); f != "" {
+				if err := checkSheet(f); err != nil {
+					return err
+				}
+				fmt.Fprintf(stdout, "%s: valid\n", f)
+			}
+			return nil
+		},
+	}
+}
+
+func checkSheet(path string) error {
+	f, err := os.Open(path)
+	if err != nil {
+		return errors.WithMessage(err, "read sheet")
+	}
+	defer func() { _ = f.Close() }()
+	if _, err := table.ReadSheet(f); err != nil {
+		return &exitError{code: ExitUsage, err: errors.WithMessage(err, path)}
+	}
+	return nil
+}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -84,10 +84,11 @@
 		eval "${name}_router_$i=$pid"
 	done
 	for i in $(seq 1 6); do wait_for "http://127.0.0.1:$((base + 300 + i))/healthz"; done
-	local admins=()
-	for i in $(seq 1 6); do admins+=(--admin "127.0.0.1:$((base + 400 + i))"); done
+	local instances
+	instances=$(for i in $(seq 1 6); do printf '127.0.0.1:%s,' $((base + 400 + i)); done)
 	bin/quetzalmount table apply --log "127.0.0.1:$((base + 1))" "examples/$name.csv" >"$work/$name-apply.txt"
-	bin/quetzalmount table wait --log "127.0.0.1:$((base + 1))" "${admins[@]}" --operator-key demo-operator-key --timeout 10s
+	bin/quetzalmount table wait --log "127.0.0.1:$((base + 1))" --instances "${instances%,}" \
+		--operator-key demo-operator-key
 }
 
 # load NAME BASE MODEL SERVICE SERVICES CALL starts callers of one deployment.
