Name the requests of a load that were not served

Callers gave up after 8 tries within 2.8 s, which is little more than the time in which a killed router leaves the advice. Ruled out: counting a request that ends on a refused connection as refused, since its caller got no answer.

--- a/internal/standin/loadgn/loadgn.go
+++ b/internal/standin/loadgn/loadgn.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -60,6 +61,17 @@
 	Recomputed int64
 	// ByTeam has the 99th percentile of the time to first token for each team.
 	ByTeam map[string]float64
+	// Failures describes the first requests that were not served.
+	Failures []string `json:",omitempty"`
+}
+
+// maxFailures bounds Failures.
+const maxFailures = 20
+
+func (s *Summary) fail(format string, args ...any) {
+	if len(s.Failures) < maxFailures {
+		s.Failures = append(s.Failures, fmt.Sprintf(format, args...))
+	}
 }
 
 // Failed reports whether anything was lost, doubled or wrong.
--- a/internal/standin/loadgn/report.go
+++ b/internal/standin/loadgn/report.go
@@ -30,6 +30,7 @@
 	s.Prompt += o.Prompt
 	s.Cached += o.Cached
 	s.Recomputed += o.Recomputed
+	s.Failures = append(s.Failures, o.Failures...)
 	s.setHitRate()
 	s.TTFTP50 = max(s.TTFTP50, o.TTFTP50)
 	s.TTFTP99 = max(s.TTFTP99, o.TTFTP99)
