Command engines through two load slots claimed in the log

Cause: desired version, adapters and role of the table have to reach engines, with one holder for each engine, at most two loads at once and without taking a group out of service.

A slot is claimed by a record that names the claim it replaces; its offset is the fencing token. An expired slot can only be taken over together with its engine, so a dead holder's load still counts.

Ruled out: one ownership record for each engine renewed at half of the lease (3,200 appends/s at the target size, several hundred are possible); re-appending claims for retention, because a claim that was not renewed for a minute is gone.

--- /dev/null
+++ b/internal/state/order/controller.go
@@ -0,0 +1,196 @@
+package order
+
+import (
+	"context"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	qm "quetzalmount.dev/quetzalmount"
+)
+
+// Controller commands the engines that this router owns.
+type Controller struct {
+	opts Options
+	stop context.CancelFunc
+	work sync.WaitGroup
+
+	mu    sync.Mutex
+	next  qm.Offset
+	slots slots
+	// seen is when this process read the last accepted claim of each slot, by its monotonic clock.
+	seen [Slots]time.Time
+	// trusted is when the folded state can be acted on. Zero means not known yet.
+	trusted time.Time
+	// pending are attempts of this process that were not read back yet.
+	pending map[qm.AttemptID]chan decision
+	alerts  int64
+	// failures are the endpoints that are left alone for a while.
+	failures map[qm.EndpointID]failure
+}
+
+// decision is the fold's answer to an attempt.
+type decision struct {
+	accepted bool
+	offset   qm.Offset
+}
+
+type failure struct {
+	until time.Time
+	err   error
+}
+
+// New starts a controller. It ends with the context or with Close.
+func New(ctx context.Context, opts Options) *Controller {
+	opts.fill()
+	ctx, stop := context.WithCancel(ctx)
+	c := &Controller{
+		opts: opts, stop: stop, next: 1,
+		pending: make(map[qm.AttemptID]chan decision), failures: make(map[qm.EndpointID]failure),
+	}
+	c.work.Go(func() { c.follow(ctx) })
+	for i := range Slots {
+		c.work.Go(func() { c.serve(ctx, i) })
+	}
+	return c
+}
+
+// Close ends the background work and waits for it. Claims of this process run out by themselves.
+func (c *Controller) Close() error {
+	c.stop()
+	c.work.Wait()
+	return nil
+}
+
+// follow folds the stream for as long as the controller runs.
+func (c *Controller) follow(ctx context.Context) {
+	for ctx.Err() == nil {
+		read, cancel := context.WithTimeout(ctx, readTimeout)
+		b, err := c.opts.Log.Read(read, Stream, c.next, readLimit, longPoll)
+		cancel()
+		if err != nil || !c.take(b) {
+			sleep(ctx, readPause)
+		}
+	}
+}
+
+// take folds a batch and reports false if the log ends before what was read already. Only follow changes c.next.
+func (c *Controller) take(b qm.Batch) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if b.Next < c.next {
+		c.alerts++
+		return false
+	}
+	if b.First > c.next {
+		// Claims are missing. One that is misjudged for that reason is gone after forgetAfter, and so is one that was judged
+		// by it. If the log keeps no record at all, every claim is older than its retention time and gone already.
+		c.slots, c.next, c.trusted = slots{}, b.First, time.Now()
+		if b.First < b.Next {
+			c.trusted = c.trusted.Add(2 * forgetAfter)
+		}
+	} else if c.trusted.IsZero() && c.next+qm.Offset(len(b.Records)) >= b.Next {
+		c.trusted = time.Now()
+	}
+	for _, rec := range b.Records {
+		if rec.Offset != c.next {
+			continue
+		}
+		c.next++
+		e, err := decode(rec.Data)
+		if err != nil {
+			c.alerts++
+			c.opts.Logger.Error(err, "record skipped", "Stream", Stream, "Offset", rec.Offset)
+			continue
+		}
+		ok := c.slots.apply(rec, e)
+		if e.Claim == nil {
+			continue
+		}
+		if ok {
+			c.seen[e.Claim.Slot] = time.Now()
+		}
+		if ch, mine := c.pending[e.Claim.Attempt]; mine {
+			ch <- decision{accepted: ok, offset: rec.Offset}
+			delete(c.pending, e.Claim.Attempt)
+		}
+	}
+	return true
+}
+
+// job is what a slot's worker should do next.
+type job struct {
+	endpoint qm.EndpointID
+	base     qm.Offset
+}
+
+// pick finds the next job of a slot. A slot whose holder's lease ran out is taken over with its endpoint.
+func (c *Controller) pick(i int) (job, bool) {
+	all := c.wants()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	if c.trusted.IsZero() || now.Before(c.trusted) || c.opts.Board.IsLeaving() {
+		return job{}, false
+	}
+	cur := c.slots[i]
+	if cur.fence > 0 && !cur.released {
+		w, known := find(all, cur.endpoint)
+		wait := qm.LeaseTime
+		if !known || !w.fences {
+			wait += LongestDelay
+		}
+		return job{cur.endpoint, cur.fence}, now.Sub(c.seen[i]) >= wait && c.opts.Owner(cur.endpoint)
+	}
+	loading := c.loading(math.MaxInt64)
+	skip := i
+	for _, w := range all {
+		id := w.endpoint.ID
+		if w.met() || w.endpoint.State == qm.Leaving || now.Before(c.failures[id].until) || !c.opts.Owner(id) {
+			continue
+		}
+		if slices.Contains(loading, id) || !spare(all, w, loading) {
+			continue
+		}
+		// The workers start with different endpoints, so that they do not race for the same one.
+		if skip > 0 {
+			skip--
+			loading = append(loading, id)
+			continue
+		}
+		return job{id, cur.fence}, true
+	}
+	return job{}, false
+}
+
+// loading returns the endpoints that were claimed before an offset. The caller holds c.mu.
+func (c *Controller) loading(before qm.Offset) []qm.EndpointID {
+	var out []qm.EndpointID
+	for _, s := range c.slots {
+		if s.fence > 0 && !s.released && s.fence < before {
+			out = append(out, s.endpoint)
+		}
+	}
+	return out
+}
+
+func (c *Controller) wants() []want {
+	table, ok := c.opts.Board.Table.Load()
+	endpoints, _ := c.opts.Board.Endpoints.Load()
+	if !ok {
+		return nil
+	}
+	return wants(table, endpoints)
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/state/order/work.go
@@ -0,0 +1,213 @@
+package order
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	qm "quetzalmount.dev/quetzalmount"
+)
+
+// lease is the right to command the endpoint of a slot.
+type lease struct {
+	slot     int
+	endpoint qm.EndpointID
+	fence    qm.Offset
+	until    time.Time
+}
+
+func (l lease) good() bool { return time.Now().Before(l.until) }
+
+// serve works on one slot for as long as the controller runs.
+func (c *Controller) serve(ctx context.Context, i int) {
+	for sleep(ctx, tick) {
+		j, ok := c.pick(i)
+		if !ok {
+			continue
+		}
+		l, err := c.claim(ctx, lease{slot: i, endpoint: j.endpoint, fence: j.base})
+		if err != nil {
+			continue
+		}
+		r := &run{c: c, lease: l, deadline: time.Now().Add(loadTimeout)}
+		err = r.load(ctx)
+		l = r.lease
+		if err != nil {
+			c.opts.Logger.Info("engine not changed", "Endpoint", l.endpoint, "Error", err.Error())
+			c.mu.Lock()
+			c.failures[l.endpoint] = failure{until: time.Now().Add(retryAfter), err: err}
+			c.mu.Unlock()
+		}
+		if l.good() {
+			c.release(ctx, l)
+		}
+	}
+}
+
+// errLost is returned when a lease ended or went to another holder.
+var errLost = errors.New("lease lost")
+
+// claim appends a claim that replaces the one with l's fence and waits until it was read back. The lease counts from before
+// the append, so it ends before any successor's waiting time, which counts from when the successor read the record.
+func (c *Controller) claim(ctx context.Context, l lease) (lease, error) {
+	id, ch := newAttempt(), make(chan decision, 1)
+	data, err := encode(entry{Claim: &claim{
+		Attempt: id, Holder: c.opts.Holder, Slot: l.slot, Endpoint: l.endpoint, Base: l.fence,
+	}})
+	if err != nil {
+		return l, err
+	}
+	c.mu.Lock()
+	c.pending[id] = ch
+	c.mu.Unlock()
+	defer func() {
+		c.mu.Lock()
+		delete(c.pending, id)
+		c.mu.Unlock()
+	}()
+	until := time.Now().Add(qm.LeaseTime)
+	ctx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	if _, err := c.opts.Log.Append(ctx, Stream, [][]byte{data}); errors.Is(err, qm.ErrNotAppended) {
+		return l, errors.Wrap(err, "claim")
+	}
+	select {
+	case d := <-ch:
+		if !d.accepted {
+			return l, errors.Wrap(errLost, "claim")
+		}
+		l.fence, l.until = d.offset, until
+		return l, nil
+	case <-ctx.Done():
+		return l, errors.Wrap(errLost, "claim was not read back in time")
+	}
+}
+
+func (c *Controller) release(ctx context.Context, l lease) {
+	data, err := encode(entry{Release: &release{Attempt: newAttempt(), Slot: l.slot, Fence: l.fence}})
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithDeadline(ctx, l.until)
+	defer cancel()
+	if _, err := c.opts.Log.Append(ctx, Stream, [][]byte{data}); err != nil {
+		c.opts.Logger.V(1).Info("slot not released, its lease runs out", "Slot", l.slot, "Error", err.Error())
+		return
+	}
+	for l.good() && c.holds(l) {
+		if !sleep(ctx, tick) {
+			return
+		}
+	}
+}
+
+func (c *Controller) holds(l lease) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.slots[l.slot]
+	return s.fence == l.fence && !s.released
+}
+
+// run is the work on one claimed endpoint.
+type run struct {
+	c        *Controller
+	lease    lease
+	deadline time.Time
+	// tried is the last command that was sent, and done tells that the endpoint took it.
+	tried *want
+	done  bool
+	// failed is when a command was sent whose effect is not known.
+	failed   time.Time
+	refusals int
+}
+
+// load commands the endpoint until it reports what the table says.
+func (r *run) load(ctx context.Context) error {
+	for {
+		all := r.c.wants()
+		w, known := find(all, r.lease.endpoint)
+		if !known || w.met() || w.endpoint.State == qm.Leaving {
+			return nil
+		}
+		if r.tried == nil && !r.spare(all, w) {
+			return nil // another router was faster with an engine of the group
+		}
+		if time.Now().After(r.deadline) {
+			return errors.Errorf("load of %s did not end within %s", w.version, loadTimeout)
+		}
+		if err := r.renew(ctx, r.tried != nil && !r.tried.same(w) && (w.fences || r.settled())); err != nil {
+			return err
+		}
+		if err := r.send(ctx, w); err != nil {
+			return err
+		}
+		if !sleep(ctx, tick) {
+			return ctx.Err()
+		}
+	}
+}
+
+// spare repeats the check of pick with the claims that came before this one in the log, so that of two routers that claim
+// engines of one group at the same time only the first goes on.
+func (r *run) spare(all []want, w want) bool {
+	r.c.mu.Lock()
+	defer r.c.mu.Unlock()
+	return spare(all, w, r.c.loading(r.lease.fence))
+}
+
+// renew claims the slot again when half of the lease is over, or when another command needs another fencing token, so that
+// the one before cannot take effect after it.
+func (r *run) renew(ctx context.Context, now bool) error {
+	if !now && time.Until(r.lease.until) >= qm.LeaseTime/2 {
+		return nil
+	}
+	l, err := r.c.claim(ctx, r.lease)
+	if err == nil {
+		r.lease = l
+	}
+	return err
+}
+
+// send sends a command if the endpoint has not taken it yet.
+func (r *run) send(ctx context.Context, w want) error {
+	change := r.tried == nil || !r.tried.same(w)
+	if !change && r.done {
+		return nil
+	}
+	if change && !w.fences && !r.settled() {
+		return nil // the command before may still arrive
+	}
+	if !r.lease.good() || r.c.opts.Board.IsLeaving() {
+		return errLost
+	}
+	r.tried = &w
+	err := r.c.desire(ctx, r.lease, w)
+	if r.done = err == nil; r.done {
+		return nil
+	}
+	r.failed = time.Now()
+	if r.refusals++; r.refusals < mostRefusals {
+		return nil
+	}
+	// The slot is kept until the command cannot arrive any more, because the next holder may command something else.
+	for !w.fences && !r.settled() {
+		if err := r.renew(ctx, false); err != nil {
+			return err
+		}
+		if !sleep(ctx, tick) {
+			return ctx.Err()
+		}
+	}
+	return err
+}
+
+func (r *run) settled() bool { return r.failed.IsZero() || time.Since(r.failed) >= LongestDelay }
+
+// desire sends one command. It ends with the lease at the latest.
+func (c *Controller) desire(ctx context.Context, l lease, w want) error {
+	ctx, cancel := context.WithDeadline(ctx, l.until)
+	defer cancel()
+	err := c.opts.Engines.Desire(ctx, w.endpoint, l.fence, w.version, w.adapters, w.role)
+	return errors.Wrapf(err, "command to %s", w.endpoint.ID)
+}
