--- a/internal/client/engine/reader.go
+++ b/internal/client/engine/reader.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
 
@@ -12,52 +11,9 @@
 	"quetzalmount.dev/quetzalmount/internal/client/pool"
 )
 
-type (
-	wireUsage struct {
-		Prompt  qm.Tokens `json:"prompt_tokens"`
-		Output  qm.Tokens `json:"completion_tokens"`
-		Details struct {
-			Cached qm.Tokens `json:"cached_tokens"`
-		} `json:"prompt_tokens_details"`
-	}
-	wireChunk struct {
-		ID      qm.RequestID `json:"id"`
-		Choices []struct {
-			Delta struct {
-				Content string `json:"content"`
-			} `json:"delta"`
-			Finish string `json:"finish_reason"`
-		} `json:"choices"`
-		Cached qm.Tokens  `json:"cached_tokens"`
-		Usage  *wireUsage `json:"usage"`
-	}
-)
-
 // errCrossed is returned when a stream carries the answer to another request.
 var errCrossed = errors.New("answer belongs to another request")
 
-// decodeChunk decodes an event of the stream of request id.
-func decodeChunk(e event, id qm.RequestID) (qm.Chunk, error) {
-	if e.id < 0 {
-		return qm.Chunk{}, errors.New("chunk has no number")
-	}
-	var w wireChunk
-	if err := json.Unmarshal(e.data, &w); err != nil {
-		return qm.Chunk{}, errors.Wrapf(err, "decode chunk %d", e.id)
-	}
-	if w.ID != id {
-		return qm.Chunk{}, errors.Wrapf(errCrossed, "chunk %d has id %q", e.id, w.ID)
-	}
-	if len(w.Choices) != 1 {
-		return qm.Chunk{}, errors.Errorf("chunk %d has %d choices", e.id, len(w.Choices))
-	}
-	c := qm.Chunk{Number: e.id, Text: w.Choices[0].Delta.Content, Finish: w.Choices[0].Finish, Cached: w.Cached}
-	if u := w.Usage; u != nil && c.Finish != "" {
-		c.Usage = &qm.Usage{Prompt: u.Prompt, Output: u.Output, Cached: u.Details.Cached}
-	}
-	return c, nil
-}
-
 // reader implements quetzalmount.ChunkReader.
 type reader struct {
 	resp     *http.Response
