Join repeated requests at the chunk they ask for, and test the planned stop of an engine

Cause: a second POST of a request got the stream from its first chunk on, even when it asked to continue from a later one, and the wait for the first token began again when the engine had answered the POST. Ruled out: a new stream for the second POST, because the engine would compute the prompt twice.

--- a/cmd/standin/main_test.go
+++ b/cmd/standin/main_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 )
@@ -29,12 +31,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.args[0], func(t *testing.T) {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			addr := l.Addr().String()
-			_ = l.Close()
+			addr := freeAddr(t)
 			ctx, cancel := context.WithCancel(context.Background())
 			done := make(chan error, 1)
 			go func() { done <- command().Run(ctx, append([]string{"standin"}, append(tt.args, "--addr", addr)...)) }()
@@ -53,3 +50,43 @@
 		})
 	}
 }
+
+// freeAddr returns an address that was free a moment ago.
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// TestEngineFinishesStreams guards against a planned stop that cuts the streams of an engine.
+func TestEngineFinishesStreams(t *testing.T) {
+	addr := freeAddr(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	done := make(chan error, 1)
+	go func() {
+		done <- command().Run(ctx, []string{"standin", "engine", "--addr", addr, "--model", "m", "--decode", "10ms"})
+	}()
+	body := `{"request_id":"r","model":"m","stream":true,"max_tokens":30,"messages":[{"role":"user","content":"x"}]}`
+	var resp *http.Response
+	for resp == nil && len(done) == 0 {
+		resp, _ = http.Post("http://"+addr+"/v1/chat/completions", "application/json", strings.NewReader(body))
+		time.Sleep(time.Millisecond)
+	}
+	if resp == nil {
+		t.Fatal(<-done)
+	}
+	defer resp.Body.Close()
+	cancel()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil || !strings.HasSuffix(string(b), "data: [DONE]\n\n") {
+		t.Errorf("stream ends with %v after %q", err, b)
+	}
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/client/engine/engine.go
+++ b/internal/client/engine/engine.go
@@ -170,6 +170,8 @@
 		return qm.Refuse(qm.CodeNoEndpoint, step, "%s", m.Message).At(e.Address).After(after)
 	case status == http.StatusNotFound:
 		return qm.Refuse(qm.CodeNotFound, step, "%s", m.Message).At(e.Address)
+	case status == http.StatusConflict:
+		return qm.Refuse(qm.CodeConflict, step, "%s", m.Message).At(e.Address)
 	case status >= 400 && status < 500:
 		return qm.Refuse(qm.CodeBadRequest, step, "%s", m.Message).At(e.Address)
 	}
--- a/internal/client/engine/engine_test.go
+++ b/internal/client/engine/engine_test.go
@@ -95,3 +95,28 @@
 		t.Errorf("continued stream: %v, (-want +got):\n%s", err, diff)
 	}
 }
+
+// TestSecondStart guards against a request that an engine runs twice because its first answer was lost.
+func TestSecondStart(t *testing.T) {
+	s, e := start(t, engsrv.Options{})
+	c := engine.New(pool.Options{})
+	defer c.Close()
+	req := request("r1")
+	whole := engsrv.Text(req.Messages, req.MaxTokens)
+	first := strings.Index(whole[1:], " ") + 1 // the first chunk's length
+	for _, tt := range []struct {
+		from int64
+		want string
+	}{{0, whole}, {0, whole}, {1, whole[first:]}} {
+		req.From, req.Emitted = tt.from, whole[:first*int(tt.from)]
+		r, err := c.Start(context.Background(), e, req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := read(t, r)
+		if diff := cmp.Diff(tt.want, got); diff != "" || err != nil || s.Stats().Requests != 1 {
+			t.Errorf("from %d: %v, %d requests (-want +got):\n%s", tt.from, err, s.Stats().Requests, diff)
+		}
+		_ = r.Close()
+	}
+}
--- a/internal/route/stream/run.go
+++ b/internal/route/stream/run.go
@@ -178,6 +178,7 @@
 	req := *v.r.Engine
 	req.From = v.next
 	req.Emitted = v.emitted.String()
+	begin := time.Now()
 	octx, cancel := context.WithTimeoutCause(ctx, v.s.opts.FirstToken, errStalled)
 	defer cancel()
 	reader, err := v.s.client.Start(octx, v.d.Endpoint, &req)
@@ -188,7 +189,7 @@
 		return err
 	}
 	v.inc = reader.Incarnation()
-	return v.read(ctx, reader, v.s.opts.FirstToken)
+	return v.read(ctx, reader, v.s.opts.FirstToken-time.Since(begin))
 }
 
 func (v *visit) resume(ctx context.Context) error {
--- a/internal/standin/engsrv/engsrv.go
+++ b/internal/standin/engsrv/engsrv.go
@@ -18,7 +18,7 @@
 // A stream consists of events "id: <number>" with one chunk of the completions protocol each, numbered from 0, and ends
 // with "data: [DONE]". The first chunk sent on a connection has "cached_tokens"; the last chunk of the answer has "usage".
 // The engine refuses requests with 429 while its queue is full, and with 503 while it loads weights or is leaving. A second
-// POST with a known request_id joins the running stream.
+// POST with a known request_id joins the running stream, or gets 409 if that stream began at a later chunk.
 package engsrv
 
 import (
--- a/internal/standin/engsrv/routes.go
+++ b/internal/standin/engsrv/routes.go
@@ -94,11 +94,14 @@
 	if ref == nil {
 		j, ref = c.admit(j, in.Version)
 	}
+	if ref == nil && j.from > in.ContinueFrom {
+		ref = &refusal{409, 0, "request runs already, from a later chunk on"}
+	}
 	if ref != nil {
 		ref.write(w)
 		return
 	}
-	s.stream(w, r, c, j, j.from)
+	s.stream(w, r, c, j, in.ContinueFrom)
 }
 
 // newJob checks a request. An emitted text that is not the start of this engine's answer is refused, because it shows that
