Test that crossed answers close a connection and that a crash without continuation ends typed

Cause: two rules of the design had no test of their own: the connection of a crossed answer is closed, and a stream whose model cannot continue ends with a typed error after the chunks it had, over a real engine. Ruled out: relying on the random schedules for the second, since they accept either end.

--- a/internal/client/plain/plain_test.go
+++ b/internal/client/plain/plain_test.go
@@ -254,15 +254,18 @@
 	}
 }
 
-// TestConnectionAge guards against pooled connections that live for ever, and against a pool that reuses none.
-func TestConnectionAge(t *testing.T) {
+// TestConnections guards against pooled connections that live for ever, against a pool that reuses none, and against one
+// that reuses a connection on which answers were crossed.
+func TestConnections(t *testing.T) {
 	for _, tt := range []struct {
-		age   time.Duration
-		conns int
-	}{{time.Nanosecond, 4}, {time.Hour, 1}} {
+		age            time.Duration
+		crossed, conns int
+	}{{time.Nanosecond, 0, 4}, {time.Hour, 0, 1}, {time.Hour, 1, 2}} {
 		var mu sync.Mutex
 		conns := 0
-		h := httptest.NewUnstartedServer(plnsrv.New(plnsrv.Options{}).Handler())
+		s := plnsrv.New(plnsrv.Options{})
+		s.SetFaults(plnsrv.Faults{CrossNext: tt.crossed})
+		h := httptest.NewUnstartedServer(s.Handler())
 		h.Config.ConnState = func(_ net.Conn, s http.ConnState) {
 			mu.Lock()
 			defer mu.Unlock()
@@ -272,15 +275,16 @@
 		}
 		h.Start()
 		c := plain.New(pool.Options{MaxAge: tt.age})
-		for range 4 {
-			if _, _, err := c.Call(context.Background(), &qm.Endpoint{Address: strings.TrimPrefix(h.URL, "http://")}, "op", newCall("look", "r")); err != nil {
-				t.Fatal(err)
+		for i := range 4 {
+			_, _, err := c.Call(context.Background(), &qm.Endpoint{Address: strings.TrimPrefix(h.URL, "http://")}, "op", newCall("look", "r"))
+			if (err != nil) != (i < tt.crossed) {
+				t.Errorf("call %d of %+v: %v", i, tt, err)
 			}
 		}
 		_ = c.Close()
 		h.Close()
 		if conns != tt.conns {
-			t.Errorf("4 calls with age %v took %d connections, want %d", tt.age, conns, tt.conns)
+			t.Errorf("4 calls of %+v took %d connections", tt, conns)
 		}
 	}
 }
--- a/internal/route/stream/loop_test.go
+++ b/internal/route/stream/loop_test.go
@@ -113,6 +113,20 @@
 	}
 }
 
+// TestCrashWithoutContinuation guards against a stream that ends as if it were complete when its engine lost it and the
+// model cannot continue, and against one that is started again from its beginning.
+func TestCrashWithoutContinuation(t *testing.T) {
+	r := newRig(2)
+	defer r.close()
+	r.engines[0].SetFaults(engsrv.Faults{Connections: []engsrv.ConnFault{fault(engsrv.FaultCrash, 5)}})
+	req := prompt("long answer 1")
+	got, sum, err := r.run(context.Background(), req, false, nil)
+	checkEnd(t, err, qm.CodeEndpoint, qm.Unknown)
+	if want := engsrv.Text(req.Messages, 40); !strings.HasPrefix(want, got) || sum.Chunks != 5 || sum.Moves != 0 {
+		t.Errorf("Run() = %+v, delivered %q, want 5 chunks of %q", sum, got, want)
+	}
+}
+
 // TestDeadEngineAndStall guards against a request that stays with an engine whose process is gone, while the engine that
 // takes over stalls its open connections.
 func TestDeadEngineAndStall(t *testing.T) {
--- a/internal/route/stream/stream_test.go
+++ b/internal/route/stream/stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -16,6 +17,20 @@
 
 const length = 6
 
+func ExampleStreamer_Run() {
+	// The connection to engine a is lost after 3 chunks, and then nothing listens at its address any more.
+	client := &fakeClient{length: 5, links: map[qm.EndpointID][]link{"a": {{end: true, n: 3}, {err: errDead}}}}
+	s := stream.New(client, stream.Options{})
+	defer s.Close()
+	sum, err := s.Run(context.Background(), &stream.Request{
+		Engine: &qm.EngineRequest{Request: "r"}, Continue: true, Budget: func(stream.Kind) bool { return true },
+		Place:   placer(&qm.Endpoint{ID: "a"}, &qm.Endpoint{ID: "b"}),
+		Deliver: func(c qm.Chunk) error { fmt.Print(c.Number, c.Text, "; "); return nil },
+	})
+	fmt.Println(sum.Chunks, sum.Resumes, sum.Moves, err)
+	// Output: 0 t0; 1 t1; 2 t2; 3 t3; 4 t4; 5 1 1 <nil>
+}
+
 // TestRun guards against streams with a gap or a repeat, against streams that end without an error before their last chunk,
 // and against recoveries that the model or the budget does not allow.
 func TestRun(t *testing.T) {
