Send commands to engines and poll small deployments whole

Cause: the roll-out test waited for ever: an engine that a router neither used nor was assigned had no known version, so the holder of its command saw too little serving capacity to take any engine out. Ruled out: polling all engines always (3,200 at the target size); making the holder the same router as the poller, which would still not know the rest of the group. Conclusion: a round polls used, assigned and then all other engines up to its bound.

--- a/internal/cli/verbs/status.go
+++ b/internal/cli/verbs/status.go
@@ -101,8 +101,8 @@
 			fmt.Fprintf(w, "  instance %s\t%s\t%s\t%s\toffset %d\n", i.Instance, i.State, i.DataCentre, i.Address, i.TableOffset)
 		}
 		for _, e := range s.Endpoints {
-			fmt.Fprintf(w, "  %s %s\t%s\t%s\t%s\tversion %s, wanted %s\t%d running, %d waiting\n", e.Kind, e.Endpoint, e.State,
-				e.Group, e.Address, orDash(e.Version.Value), orDash(e.DesiredVersion.Value), e.Running.Value, e.Waiting.Value)
+			fmt.Fprintf(w, "  %s %s\t%s\t%s\t%s\tversion %s, wanted %s, %s\t%d running, %d waiting\n", e.Kind, e.Endpoint, e.State,
+				e.Group, e.Address, orDash(e.Version.Value), orDash(e.DesiredVersion.Value), orDash(e.Step.Value), e.Running.Value, e.Waiting.Value)
 		}
 		for _, t := range s.Teams {
 			fmt.Fprintf(w, "  team %s\t%d in flight\t%d queued\n", t.Team, t.InFlight, t.Queued)
--- a/internal/entry/e2e/e2e_test.go
+++ b/internal/entry/e2e/e2e_test.go
@@ -35,7 +35,7 @@
 	if code != 0 || !strings.HasSuffix(strings.TrimSpace(out), "data: [DONE]") {
 		t.Errorf("call: exit %d: %s", code, out)
 	}
-	if out, code := d.command(append([]string{"status"}, d.admins()...)...); code != 0 || strings.Count(out, "Serving") != 6 {
+	if out, code := d.command(append([]string{"status"}, d.instances()...)...); code != 0 || strings.Count(out, "Serving") != 6 {
 		t.Errorf("status: exit %d: %s", code, out)
 	}
 }
@@ -48,7 +48,7 @@
 	if out, code := d.command("table", "set", "--log", d.log, "team", "chess-club", "Concurrency=33"); code != 0 {
 		t.Fatalf("table set: exit %d: %s", code, out)
 	}
-	wait := append([]string{"table", "wait", "--log", d.log, "--within", "30s"}, d.admins()...)
+	wait := append([]string{"table", "wait", "--log", d.log, "--within", "30s"}, d.instances()...)
 	out, code := d.command(wait...)
 	if code != 0 || !strings.Contains(out, "6 of 6") {
 		t.Fatalf("table wait: exit %d: %s", code, out)
@@ -225,6 +225,28 @@
 	}
 }
 
+// TestRollOut guards against a new version that takes the group out of service, that does not reach every engine, or that lets
+// a request use weights other than those it asked for.
+func TestRollOut(t *testing.T) {
+	d := deploy(t, options{routers: 3, engines: 4, services: 1})
+	set := append([]string{"table", "set", "--log", d.log, "--wait"}, d.instances()...)
+	sum := d.during(d.load(8, 12*time.Second, 15, 0), func() {
+		time.Sleep(time.Second)
+		var out string
+		t.Cleanup(func() { t.Log(out) })
+		if out, code := d.command(append(set, "model", "scribe", "Version=scribe-2")...); code != 0 {
+			t.Fatalf("table set: exit %d: %s", code, out)
+		}
+		d.eventually("all engines have the new version", func() bool {
+			out, _ = d.command("status", "--instances", d.routers[0].admin)
+			return strings.Count(out, "version scribe-2, wanted scribe-2") == len(d.engines)
+		})
+	})
+	if sum.Refused+sum.Unknown > 0 {
+		t.Errorf("%d requests refused during the roll-out, want 0", sum.Refused+sum.Unknown)
+	}
+}
+
 func postStatus(address, body string) int {
 	req, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/chat/completions", strings.NewReader(body))
 	if err != nil {
--- a/internal/entry/e2e/harness_test.go
+++ b/internal/entry/e2e/harness_test.go
@@ -150,10 +150,13 @@
 	t.Cleanup(d.stop)
 	var list []lstsrv.Instance
 	centres := []string{"dub-a", "dub-b", "dub-c", "dub-d"}
+	weights := freeAddress(t)
+	d.start("weights", "standin", "weights", "--addr", weights, "--load", "500ms")
 	for i := range o.engines {
 		a := freeAddress(t)
 		d.engines = append(d.engines, a)
-		args := append([]string{"engine", "--addr", a, "--model", "scribe", "--version", "scribe-1", "--fence"}, o.engineArgs...)
+		args := append([]string{"engine", "--addr", a, "--model", "scribe", "--version", "scribe-1", "--fence",
+			"--adapter", "lodgements", "--weights", weights}, o.engineArgs...)
 		d.start(fmt.Sprintf("engine-%d", i), "standin", args...)
 		list = append(list, lstsrv.Instance{ID: fmt.Sprintf("scribe-%d", i), Kind: "Engine", Group: "scribe", Address: a,
 			DataCentre: centres[i%4], Region: "eu-dub", State: "Live"})
@@ -250,8 +253,8 @@
 	return string(out), cmd.ProcessState.ExitCode()
 }
 
-// admins returns the flags that name the operators' addresses of routers.
-func (d *deployment) admins() []string {
+// instances returns the flags that name the operators' addresses of routers.
+func (d *deployment) instances() []string {
 	var addresses []string
 	for _, r := range d.routers {
 		addresses = append(addresses, r.admin)
--- a/internal/entry/opsapi/opsapi.go
+++ b/internal/entry/opsapi/opsapi.go
@@ -33,6 +33,14 @@
 	InFlight, Queued int
 }
 
+// Progress is how far an engine is on the way to what the table says.
+type Progress struct {
+	Desired qm.VersionID
+	Step    string
+	// Error is why the last command failed, empty if it did not.
+	Error string
+}
+
 // Deps are the parts that the handlers read from.
 type Deps struct {
 	Board    *board.Board
@@ -43,9 +51,9 @@
 	Rows func() []Row
 	// Teams returns the teams that have work on this instance.
 	Teams func() []TeamLoad
-	// Desired returns the version that an engine should have, empty if none is set.
-	Desired func(qm.EndpointID) qm.VersionID
-	Metrics http.Handler
+	// Progress returns how far each engine is on the way to what the table says.
+	Progress func() map[qm.EndpointID]Progress
+	Metrics  http.Handler
 }
 
 // Handler implements the generated interface of operators.
@@ -146,8 +154,9 @@
 		s.Instances = append(s.Instances, h.instance(m, s.TableOffset))
 	}
 	endpoints, _ := h.deps.Board.Endpoints.Load()
+	progress := h.deps.Progress()
 	for _, e := range endpoints {
-		s.Endpoints = append(s.Endpoints, h.endpoint(e))
+		s.Endpoints = append(s.Endpoints, endpointStatus(e, progress[e.ID]))
 	}
 	for _, t := range h.deps.Teams() {
 		s.Teams = append(s.Teams, admin.TeamStatus{Team: string(t.Team), InFlight: t.InFlight, Queued: t.Queued})
@@ -166,7 +175,7 @@
 	}
 }
 
-func (h *Handler) endpoint(e *qm.Endpoint) admin.EndpointStatus {
+func endpointStatus(e *qm.Endpoint, p Progress) admin.EndpointStatus {
 	s := admin.EndpointStatus{
 		Endpoint: string(e.ID), Kind: string(e.Kind), Group: string(e.Group), Address: e.Address, State: string(e.State),
 		DataCentre: admin.NewOptString(string(e.DataCentre)),
@@ -174,7 +183,9 @@
 	if e.Kind == qm.KindEngine {
 		s.Incarnation = admin.NewOptString(string(e.Incarnation))
 		s.Version = admin.NewOptString(string(e.Version))
-		s.DesiredVersion = admin.NewOptString(string(h.deps.Desired(e.ID)))
+		s.DesiredVersion = admin.NewOptString(string(p.Desired))
+		s.Step = admin.NewOptString(p.Step)
+		s.Error = admin.NewOptString(p.Error)
 		s.Running = admin.NewOptInt(e.Load.Running)
 		s.Waiting = admin.NewOptInt(e.Load.Waiting)
 	}
--- a/internal/entry/opsapi/opsapi_test.go
+++ b/internal/entry/opsapi/opsapi_test.go
@@ -26,8 +26,10 @@
 		Rows: func() []opsapi.Row {
 			return []opsapi.Row{{Kind: "team", Name: "a", Version: 3, Cells: map[string]string{"Weight": "2"}}}
 		},
-		Teams:   func() []opsapi.TeamLoad { return []opsapi.TeamLoad{{Team: "a", InFlight: 1, Queued: 2}} },
-		Desired: func(qm.EndpointID) qm.VersionID { return "v2" },
+		Teams: func() []opsapi.TeamLoad { return []opsapi.TeamLoad{{Team: "a", InFlight: 1, Queued: 2}} },
+		Progress: func() map[qm.EndpointID]opsapi.Progress {
+			return map[qm.EndpointID]opsapi.Progress{"scribe-1": {Desired: "v2", Step: "Loading"}}
+		},
 		Metrics: http.NotFoundHandler(),
 	})
 	if err != nil {
@@ -76,8 +78,8 @@
 		t.Fatalf("status %d: %s: %v", w.Code, w.Body, err)
 	}
 	got := []any{s.State, s.TableOffset, s.Instances[0].TableOffset, s.Instances[1].TableOffset, s.Endpoints[0].State,
-		s.Endpoints[0].DesiredVersion.Value, s.Teams[0].Queued}
-	want := []any{"Serving", int64(9), int64(9), int64(8), "Suspect", "v2", 2}
+		s.Endpoints[0].DesiredVersion.Value, s.Endpoints[0].Step.Value, s.Teams[0].Queued}
+	want := []any{"Serving", int64(9), int64(9), int64(8), "Suspect", "v2", "Loading", 2}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("status differs (-want +got):\n%s", diff)
 	}
--- a/internal/entry/server/handlers.go
+++ b/internal/entry/server/handlers.go
@@ -27,8 +27,8 @@
 	return opsapi.New(opsapi.Deps{
 		Board: p.board, Instance: qm.InstanceID(p.settings.Instance), Version: p.version, KeyHash: p.settings.OperatorKeyHash,
 		Rows: p.rows, Metrics: p.meter.Handler(),
-		Teams:   func() []opsapi.TeamLoad { return nil },
-		Desired: func(qm.EndpointID) qm.VersionID { return "" },
+		Teams:    func() []opsapi.TeamLoad { return nil },
+		Progress: p.progress,
 	})
 }
 
--- a/internal/entry/server/health.go
+++ b/internal/entry/server/health.go
@@ -15,8 +15,8 @@
 // Allow reports whether an endpoint may be used. The roster has the states.
 func (h *health) Allow(qm.EndpointID) bool { return true }
 
-// Succeeded tells that the endpoint answered. The load reports tell the roster the same.
-func (h *health) Succeeded(qm.EndpointID) {}
+// Succeeded tells that the endpoint answered.
+func (h *health) Succeeded(id qm.EndpointID) { h.roster.Succeeded(id, "") }
 
 // Failed tells that a request failed at the endpoint. A full queue is no fault of the endpoint, and a request that the
 // endpoint calls invalid is one of the caller.
--- a/internal/entry/server/parts.go
+++ b/internal/entry/server/parts.go
@@ -29,6 +29,7 @@
 	"quetzalmount.dev/quetzalmount/internal/state/board"
 	"quetzalmount.dev/quetzalmount/internal/state/claim"
 	"quetzalmount.dev/quetzalmount/internal/state/config"
+	"quetzalmount.dev/quetzalmount/internal/state/order"
 )
 
 // handlerOf makes the handler of one listener.
@@ -66,6 +67,7 @@
 	streams  *stream.Streamer
 	invoker  *invoke.Invoker
 	claims   *claim.Claims
+	orders   *order.Controller
 	relay    *relay.Relay
 }
 
@@ -183,8 +185,8 @@
 			Board: p.board, Observer: p.observer, Read: p.readEvents, Every: p.settings.EventsEvery, Log: p.log.WithName("feed"),
 		})
 		p.onClose(p.feed.Close)
-		p.placer = &followed{Placer: p.placer, feed: p.feed}
 	}
+	p.placer = &followed{Placer: p.placer, feed: p.feed, roster: p.roster}
 	p.streams = stream.New(p.engines, stream.Options{FirstToken: p.settings.FirstToken, Progress: p.settings.Progress})
 	p.closeQuietly("streams", p.streams.Close)
 	p.relay = relay.New(relay.Deps{
@@ -194,14 +196,18 @@
 	p.invoker = invoke.New(invoke.Deps{Board: p.board, Client: p.services, Health: p.health, Retry: oneRetry{}.Retry})
 }
 
-// followed tells the feed which engines get work.
+// followed tells the feed and the roster which engines get work.
 type followed struct {
 	qm.Placer
-	feed *feed.Feed
+	feed   *feed.Feed // nil for policies that use no cache events
+	roster *roster.Roster
 }
 
 // Dispatched implements quetzalmount.Placer.
 func (f *followed) Dispatched(r *qm.PlaceRequest, d qm.Decision, now time.Time) {
-	f.feed.Used(d.Endpoint.ID, now)
+	if f.feed != nil {
+		f.feed.Used(d.Endpoint.ID, now)
+	}
+	f.roster.Used(d.Endpoint.ID)
 	f.Placer.Dispatched(r, d, now)
 }
--- a/internal/entry/server/state.go
+++ b/internal/entry/server/state.go
@@ -5,7 +5,10 @@
 	"fmt"
 
 	qm "quetzalmount.dev/quetzalmount"
+	"quetzalmount.dev/quetzalmount/internal/client/engine"
+	"quetzalmount.dev/quetzalmount/internal/entry/opsapi"
 	"quetzalmount.dev/quetzalmount/internal/state/claim"
+	"quetzalmount.dev/quetzalmount/internal/state/order"
 )
 
 // addState starts what keeps state in the log: the claims and the commands to engines.
@@ -20,5 +23,31 @@
 		return err
 	}
 	p.closeQuietly("claims", p.claims.Close)
+	p.orders = order.New(ctx, order.Options{
+		Log: p.logs, Board: p.board, Engines: commander{p.engines},
+		Holder: p.settings.Instance + "/" + string(p.incarnation),
+		Owner:  func(id qm.EndpointID) bool { return p.owns("engine-" + string(id)) },
+		Logger: p.log.WithName("order"),
+	})
+	p.closeQuietly("orders", p.orders.Close)
 	return nil
 }
+
+// commander sends commands to engines.
+type commander struct{ client *engine.Client }
+
+// Desire implements order.Engines.
+func (c commander) Desire(
+	ctx context.Context, e *qm.Endpoint, fence qm.Offset, v qm.VersionID, adapters []qm.AdapterID, role string,
+) error {
+	return c.client.Desire(ctx, e, engine.Desired{Fence: fence, Version: v, Adapters: adapters, Role: role})
+}
+
+// progress returns the state of the commands to engines, for operators.
+func (p *parts) progress() map[qm.EndpointID]opsapi.Progress {
+	out := make(map[qm.EndpointID]opsapi.Progress)
+	for _, g := range p.orders.Progress() {
+		out[g.Endpoint] = opsapi.Progress{Desired: g.Desired, Step: string(g.Step), Error: g.Error}
+	}
+	return out
+}
--- a/internal/infra/conf/conf.go
+++ b/internal/infra/conf/conf.go
@@ -45,7 +45,6 @@
 	FirstToken, Progress, Request, Heartbeat     time.Duration
 	AdviceValidity, StopLimit, MaxConnAge        time.Duration
 	LoadEvery, EventsEvery                       time.Duration
-	MaxLoads                                     int
 	Policy, LogLevel                             string
 	MeteredTeams                                 int
 	DefaultOutputTokens, QueueLength, EngineLoad int
@@ -168,8 +167,6 @@
 			func(s *Settings) *time.Duration { return &s.LoadEvery }),
 		duration("Engines", "EventsEvery", "500ms", 10*time.Millisecond, time.Minute,
 			"Time between two reads of an engine's cache events.", func(s *Settings) *time.Duration { return &s.EventsEvery }),
-		numeric("Engines", "MaxLoads", "2", 1, 100, "Most engines of a deployment that load weights at the same time.",
-			func(s *Settings) *int { return &s.MaxLoads }),
 		choice("Placement", "Policy", "expected", []string{"expected", "random", "least", "hash"},
 			"Placement policy; all but expected are for comparison.", func(s *Settings) *string { return &s.Policy }),
 		choice("Logs", "Level", "info", []string{"debug", "info", "error"}, "Least severe log lines that are written.",
--- a/internal/member/roster/poll.go
+++ b/internal/member/roster/poll.go
@@ -44,12 +44,14 @@
 	})
 }
 
-// choose returns the engines to poll now: those used lately before those assigned, the longest not polled first.
+// choose returns the engines to poll now: those used lately, then those assigned, then all others as far as the round has room,
+// the longest not polled first. Small deployments have room for all, so that every router knows the load and the weights of
+// every engine.
 func (r *Roster) choose(now time.Time) []*qm.Endpoint {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.assign()
-	var used, assigned []*entry
+	var used, assigned, others []*entry
 	for id, e := range r.endpoints {
 		switch {
 		case e.view.Kind != qm.KindEngine:
@@ -57,9 +59,11 @@
 			used = append(used, e)
 		case r.assigned[id]:
 			assigned = append(assigned, e)
+		default:
+			others = append(others, e)
 		}
 	}
-	order := append(oldestFirst(used), oldestFirst(assigned)...)
+	order := slices.Concat(oldestFirst(used), oldestFirst(assigned), oldestFirst(others))
 	order = order[:min(len(order), r.opts.PollsPerRound)]
 	out := make([]*qm.Endpoint, len(order))
 	for i, e := range order {
--- a/internal/member/roster/poll_test.go
+++ b/internal/member/roster/poll_test.go
@@ -48,3 +48,35 @@
 		}
 	})
 }
+
+// TestSmallDeploymentsArePolledWhole guards against engines whose load and weights are unknown although there is room to ask,
+// which keeps a roll-out from starting.
+func TestSmallDeploymentsArePolledWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var list []qm.Member
+		for i := range 6 {
+			list = append(list, qm.Member{Instance: qm.InstanceID(fmt.Sprint("r", i)), State: qm.Live})
+		}
+		var eps []*qm.Endpoint
+		for i := range 12 {
+			eps = append(eps, &qm.Endpoint{ID: qm.EndpointID(fmt.Sprint("e", i)), Kind: qm.KindEngine, State: qm.Live})
+		}
+		b := board.New()
+		r := roster.New(t.Context(), roster.Options{
+			Board: b, Self: list[0], PollsPerRound: 16,
+			List: func(context.Context) ([]qm.Member, []*qm.Endpoint, error) { return list, eps, nil },
+			Load: func(context.Context, *qm.Endpoint) (roster.Report, error) {
+				return roster.Report{Incarnation: "i", Version: "v1"}, nil
+			},
+		})
+		defer r.Close()
+		time.Sleep(3 * roster.DefaultPollEvery)
+		synctest.Wait()
+		known, _ := b.Endpoints.Load()
+		for _, e := range known {
+			if e.Version != "v1" {
+				t.Errorf("version of %s is not known", e.ID)
+			}
+		}
+	})
+}
--- a/internal/wire/admin/oas_json_gen.go
+++ b/internal/wire/admin/oas_json_gen.go
@@ -64,6 +64,18 @@
 			s.DesiredVersion.Encode(e)
 		}
 	}
+	{
+		if s.Step.Set {
+			e.FieldStart("Step")
+			s.Step.Encode(e)
+		}
+	}
+	{
+		if s.Error.Set {
+			e.FieldStart("Error")
+			s.Error.Encode(e)
+		}
+	}
 	{
 		if s.Running.Set {
 			e.FieldStart("Running")
@@ -78,7 +90,7 @@
 	}
 }
 
-var jsonFieldsNameOfEndpointStatus = [11]string{
+var jsonFieldsNameOfEndpointStatus = [13]string{
 	0:  "Endpoint",
 	1:  "Kind",
 	2:  "Group",
@@ -88,8 +100,10 @@
 	6:  "Incarnation",
 	7:  "Version",
 	8:  "DesiredVersion",
-	9:  "Running",
-	10: "Waiting",
+	9:  "Step",
+	10: "Error",
+	11: "Running",
+	12: "Waiting",
 }
 
 // Decode decodes EndpointStatus from json.
@@ -201,6 +215,26 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"DesiredVersion\"")
 			}
+		case "Step":
+			if err := func() error {
+				s.Step.Reset()
+				if err := s.Step.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"Step\"")
+			}
+		case "Error":
+			if err := func() error {
+				s.Error.Reset()
+				if err := s.Error.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"Error\"")
+			}
 		case "Running":
 			if err := func() error {
 				s.Running.Reset()
--- a/internal/wire/admin/oas_schemas_gen.go
+++ b/internal/wire/admin/oas_schemas_gen.go
@@ -21,8 +21,12 @@
 	Incarnation    OptString `json:"Incarnation"`
 	Version        OptString `json:"Version"`
 	DesiredVersion OptString `json:"DesiredVersion"`
-	Running        OptInt    `json:"Running"`
-	Waiting        OptInt    `json:"Waiting"`
+	// How far the engine is on the way to the table.
+	Step OptString `json:"Step"`
+	// Why the last command to the engine failed.
+	Error   OptString `json:"Error"`
+	Running OptInt    `json:"Running"`
+	Waiting OptInt    `json:"Waiting"`
 }
 
 // GetEndpoint returns the value of Endpoint.
@@ -70,6 +74,16 @@
 	return s.DesiredVersion
 }
 
+// GetStep returns the value of Step.
+func (s *EndpointStatus) GetStep() OptString {
+	return s.Step
+}
+
+// GetError returns the value of Error.
+func (s *EndpointStatus) GetError() OptString {
+	return s.Error
+}
+
 // GetRunning returns the value of Running.
 func (s *EndpointStatus) GetRunning() OptInt {
 	return s.Running
@@ -125,6 +139,16 @@
 	s.DesiredVersion = val
 }
 
+// SetStep sets the value of Step.
+func (s *EndpointStatus) SetStep(val OptString) {
+	s.Step = val
+}
+
+// SetError sets the value of Error.
+func (s *EndpointStatus) SetError(val OptString) {
+	s.Error = val
+}
+
 // SetRunning sets the value of Running.
 func (s *EndpointStatus) SetRunning(val OptInt) {
 	s.Running = val
