Ask again for a stream whose first chunk is late

Ruled out: a shorter time for the first token, which moves requests of busy engines and computes their prompts twice; counting such waits as failures of the engine, which would make a busy one suspect. Change: the stream is asked for again over a fresh connection every 2 s (the progress time) until the time for the first token has passed; then the request moves.

--- a/internal/route/stream/run.go
+++ b/internal/route/stream/run.go
@@ -119,14 +119,15 @@
 	asked bool           // the engine may run the request
 	got   bool           // a chunk came from this engine
 	tries int            // resumes since the last new chunk
+	begin time.Time
 }
 
 // engine runs the request on one engine until it is finished or the engine is given up.
 func (t *run) engine(ctx context.Context, d qm.Decision) error {
-	v := &visit{run: t, d: d}
+	v := &visit{run: t, d: d, begin: time.Now()}
 	err := v.start(ctx)
 	for err != nil && v.mayResume(ctx, err) {
-		if t.r.Failed != nil {
+		if t.r.Failed != nil && !v.waiting(err) {
 			t.r.Failed(d, err)
 		}
 		v.tries++
@@ -157,20 +158,22 @@
 // mayResume reports whether the stream may be resumed on the same engine after err.
 func (v *visit) mayResume(ctx context.Context, err error) bool {
 	var e *qm.Error
-	limit := v.s.opts.Resumes
 	switch {
 	case ctx.Err() != nil || errors.Is(err, errDeliver) || gone(err):
 		return false
 	case errors.As(err, &e) && e.Outcome == qm.NotRun && v.canLeave():
 		// The engine refused the request or cannot be reached.
 		return false
-	case !v.got && errors.Is(err, errStalled):
-		// A first chunk that is late on a second connection too means a busy engine.
-		limit = 1
+	case v.waiting(err):
+		return time.Since(v.begin) < v.s.opts.FirstToken && v.allowed(Resume)
 	}
-	return v.tries < limit && v.allowed(Resume)
+	return v.tries < v.s.opts.Resumes && v.allowed(Resume)
 }
 
+// waiting reports whether err means that the first chunk from the engine has not come yet. That is either a busy engine or a
+// silent connection. Asking for the stream again over a fresh connection costs nothing and tells the two apart.
+func (v *visit) waiting(err error) bool { return !v.got && errors.Is(err, errStalled) }
+
 // canLeave reports whether another engine could take the request.
 func (v *visit) canLeave() bool { return v.next == 0 || v.r.Continue }
 
@@ -178,8 +181,7 @@
 	req := *v.r.Engine
 	req.From = v.next
 	req.Emitted = v.emitted.String()
-	begin := time.Now()
-	octx, cancel := context.WithTimeoutCause(ctx, v.s.opts.FirstToken, errStalled)
+	octx, cancel := context.WithTimeoutCause(ctx, v.firstWait(), errStalled)
 	defer cancel()
 	reader, err := v.s.client.Start(octx, v.d.Endpoint, &req)
 	if err == nil || typed(ctx, v.d, err).Outcome != qm.NotRun {
@@ -189,7 +191,12 @@
 		return err
 	}
 	v.inc = reader.Incarnation()
-	return v.read(ctx, reader, v.s.opts.FirstToken-time.Since(begin))
+	return v.read(ctx, reader, v.firstWait())
+}
+
+// firstWait returns how long to wait on one connection for the first chunk from the engine.
+func (v *visit) firstWait() time.Duration {
+	return min(v.s.opts.Progress, v.s.opts.FirstToken-time.Since(v.begin))
 }
 
 func (v *visit) resume(ctx context.Context) error {
--- a/internal/route/stream/stream.go
+++ b/internal/route/stream/stream.go
@@ -40,7 +40,8 @@
 
 // Options of a Streamer. Zero values mean the defaults.
 type Options struct {
-	// FirstToken bounds the wait for the first chunk from an engine (10 s), Progress that for every other one (2 s).
+	// FirstToken bounds the wait for the first chunk from an engine over all connections (10 s), Progress the wait for a chunk
+	// on one connection (2 s).
 	FirstToken, Progress time.Duration
 	// Resumes is the number of resumes in a row without a new chunk after which an engine is given up (3).
 	Resumes int
