Use the homes of plain hashing while shares or caches are unknown

Below 60 counted requests of a group, or when events show less than 0.8 of the caches, the home is that of plain hashing of the prefix that covers 0.7 of the prompt; a hot prefix still has several.

--- a/internal/bench/trial/variants.go
+++ b/internal/bench/trial/variants.go
@@ -39,6 +39,8 @@
 	for _, width := range []float64{1, 1.5, 3, 5} {
 		ours("width "+strconv.FormatFloat(width, 'f', 1, 64), func(o *place.Options) { o.Width = width })
 	}
+	ours("no sample", func(o *place.Options) { o.Sample = 0 })
+	ours("plain homes", func(o *place.Options) { o.LeastSight = 2 })
 	ours("kept 0", func(o *place.Options) { o.Kept = 0 })
 	ours("kept 0.5", func(o *place.Options) { o.Kept = 0.5 })
 	ours("event lag 2 s", func(o *place.Options) { o.EventLag = 2 * time.Second })
--- a/internal/route/place/place.go
+++ b/internal/route/place/place.go
@@ -18,6 +18,12 @@
 	Prefixes int
 	// Width is the number of engines that serve a prefix for each engine's worth of the router's requests that it makes up.
 	Width float64
+	// Sample is the number of requests of a group from which on the shares of prefixes select the homes. Before that, as after
+	// a restart, the home is that of plain hashing.
+	Sample float64
+	// LeastSight is the part of the caches that events must show for it: by shares, routers that see little move more prefixes
+	// between them than the hash does.
+	LeastSight float64
 	// Stray scales the cost of tokens that are prefilled at an engine that is not a home of the prefix: the copy takes memory
 	// and makes other prefixes miss later.
 	Stray float64
@@ -45,7 +51,7 @@
 // Defaults returns the parameters in use.
 func Defaults() Options {
 	return Options{
-		Prefixes: 1 << 15, Width: 2, Stray: 0.5, Blind: 4, Again: 2,
+		Prefixes: 1 << 15, Width: 2, Sample: 60, LeastSight: 0.8, Stray: 0.5, Blind: 6, Again: 2,
 		Near: 5 * time.Millisecond, LoadFactor: 4, LoadFloor: 8, HotKeys: 128, HotMemory: 30 * time.Second,
 		Kept: 0.2, EventSilence: 3 * time.Second, EventLag: 500 * time.Millisecond,
 	}
@@ -170,29 +176,51 @@
 	return r.Spans
 }
 
-// settle finds the homes of the prompt. It walks from the shortest prefix on and keeps as many engines as the share of
-// the prefix among the requests needs, chosen by weight among those kept before. So a large team is spread over several
-// engines by its contexts, a small one stays on one engine, and a hot prefix keeps several to the end. No fixed level of
-// the prompt has to be named, and the common first levels take memory on few engines only.
-func (p *Expected) settle(r *quetzalmount.PlaceRequest, group quetzalmount.PrefixKey, n int) {
+// settle finds the homes of the prompt: by share while the router knows the shares and sees the caches, else by plain hash.
+// A hot prefix has several homes either way.
+func (p *Expected) settle(r *quetzalmount.PlaceRequest, group quetzalmount.PrefixKey, n int, sight float64) {
 	p.homes.reset()
 	total := math.Max(1, p.hot.Count(group))
+	if total >= p.opt.Sample && sight >= p.opt.LeastSight {
+		p.narrow(r, total, n)
+		return
+	}
+	key, want := affinity(r, HashShare), 1
+	if total >= p.opt.Sample {
+		want = p.width(key, total, n)
+	}
+	p.selectHomes(key, min(want, maxHomes, n))
+}
+
+// narrow walks from the shortest prefix on and keeps as many engines as the share of the prefix among the requests needs,
+// chosen by weight among those kept before. So a large team is spread over several engines by its contexts, a small one stays
+// on one engine, and a hot prefix keeps several to the end. No fixed level of the prompt has to be named, and the common first
+// levels take memory on few engines only.
+func (p *Expected) narrow(r *quetzalmount.PlaceRequest, total float64, n int) {
 	for _, s := range shared(r) {
-		count := p.hot.Count(s.Key)
-		// The request itself is one of those counted. A router that has just started would take its first prefixes for hot ones.
-		want := int(math.Ceil(p.opt.Width * float64(n) * (count - 1) / total))
-		if want = max(want, 1); want > maxHomes || want >= p.homes.size(n) {
+		want := p.width(s.Key, total, n)
+		if want > maxHomes || want >= p.homes.size(n) {
 			continue
 		}
 		if p.homes.full() {
 			p.homes.narrow(s.Key, want, p.fleet)
 			continue
 		}
-		p.homes.begin(want)
-		for at, t := range p.times {
-			if !math.IsInf(t, 1) {
-				p.homes.offer(weigh(s.Key, p.fleet.at(at).hash), at)
-			}
+		p.selectHomes(s.Key, want)
+	}
+}
+
+// width returns the number of engines that the share of a prefix needs. The request itself is one of those counted.
+func (p *Expected) width(key quetzalmount.PrefixKey, total float64, n int) int {
+	return max(1, int(math.Ceil(p.opt.Width*float64(n)*(p.hot.Count(key)-1)/total)))
+}
+
+// selectHomes selects the first homes of a prompt among all engines that may be used.
+func (p *Expected) selectHomes(key quetzalmount.PrefixKey, want int) {
+	p.homes.begin(want)
+	for at, t := range p.times {
+		if !math.IsInf(t, 1) {
+			p.homes.offer(weigh(key, p.fleet.at(at).hash), at)
 		}
 	}
 }
@@ -213,7 +241,8 @@
 		}
 	}
 	bound := p.bound(total, n)
-	stray := p.stray(now)
+	sight := p.sight(now)
+	stray := p.opt.Stray + p.opt.Blind*(1-sight)
 	p.base, p.slope = p.trust.line()
 	for i := range engines {
 		e := p.fleet.at(i)
@@ -227,7 +256,7 @@
 		p.times[i] = p.expect(r, e)
 		p.scores[i] = p.times[i] + stray*p.missing(r, e)*e.cost
 	}
-	p.settle(r, group, n)
+	p.settle(r, group, n, sight)
 	p.homes.refund(p.scores, p.times)
 	p.charge(r)
 	best := math.Inf(1)
@@ -237,8 +266,8 @@
 	return best
 }
 
-// stray returns the cost of copies, which depends on how much of the caches the events show.
-func (p *Expected) stray(now sketch.Tick) float64 {
+// sight returns the part of the caches of the usable engines that events show.
+func (p *Expected) sight(now sketch.Tick) float64 {
 	seen, n := 0.0, 0.0
 	for i, t := range p.times {
 		if !math.IsInf(t, 1) {
@@ -246,7 +275,7 @@
 			n++
 		}
 	}
-	return p.opt.Stray + p.opt.Blind*(1-seen/n)
+	return seen / n
 }
 
 // charge adds the cost of prefilling again what another engine is expected to hold. The homes of a hot prefix do not pay it,
--- a/internal/route/place/rules_test.go
+++ b/internal/route/place/rules_test.go
@@ -139,12 +139,12 @@
 	}
 }
 
-// TestStray guards against copies away from home that cost no more when no events tell other routers of them.
-func TestStray(t *testing.T) {
+// TestSight guards against trust in events that do not arrive: copies away from home would cost too little.
+func TestSight(t *testing.T) {
 	x := newTester(t)
 	v := view(2, nil)
 	x.place(ask("a", "v1", "c", 1), v)
-	blind := x.p.stray(x.p.fleet.tick(x.now))
+	blind := x.p.sight(x.p.fleet.tick(x.now))
 	for _, e := range v {
 		events := make([]quetzalmount.CacheEvent, 25)
 		for i := range events {
@@ -152,12 +152,12 @@
 		}
 		x.p.Observe(e.ID, "one", events, false, x.now)
 	}
-	half := x.p.stray(x.p.fleet.tick(x.now))
-	late := x.p.stray(x.p.fleet.tick(x.now.Add(x.p.opt.EventSilence + time.Second)))
+	half := x.p.sight(x.p.fleet.tick(x.now))
+	late := x.p.sight(x.p.fleet.tick(x.now.Add(x.p.opt.EventSilence + time.Second)))
 	got := []float64{blind, half, late}
-	want := []float64{x.p.opt.Stray + x.p.opt.Blind, x.p.opt.Stray + x.p.opt.Blind/2, x.p.opt.Stray + x.p.opt.Blind}
+	want := []float64{0, 0.5, 0}
 	if diff := cmp.Diff(want, got); diff != "" {
-		t.Errorf("cost without events, with half of the blocks named, after silence (-want +got):\n%s", diff)
+		t.Errorf("seen without events, with half of the blocks named, after silence (-want +got):\n%s", diff)
 	}
 }
 
