--- a/internal/bench/trial/variants.go
+++ b/internal/bench/trial/variants.go
@@ -40,7 +40,10 @@
 		ours("width "+strconv.FormatFloat(width, 'f', 1, 64), func(o *place.Options) { o.Width = width })
 	}
 	ours("no sample", func(o *place.Options) { o.Sample = 0 })
-	ours("plain homes", func(o *place.Options) { o.LeastSight = 2 })
+	for _, share := range []float64{0.4, 0.7, 0.99} {
+		ours("plain "+strconv.FormatFloat(share, 'f', 2, 64), func(o *place.Options) { o.LeastSight, o.HomeShare = 2, share })
+		ours("both "+strconv.FormatFloat(share, 'f', 2, 64), func(o *place.Options) { o.HomeShare = share })
+	}
 	ours("kept 0", func(o *place.Options) { o.Kept = 0 })
 	ours("kept 0.5", func(o *place.Options) { o.Kept = 0.5 })
 	ours("event lag 2 s", func(o *place.Options) { o.EventLag = 2 * time.Second })
--- a/internal/route/place/place.go
+++ b/internal/route/place/place.go
@@ -21,6 +21,8 @@
 	// Sample is the number of requests of a group from which on the shares of prefixes select the homes. Before that, as after
 	// a restart, the home is that of plain hashing.
 	Sample float64
+	// HomeShare is the part of a prompt whose prefix selects the home by plain hash.
+	HomeShare float64
 	// LeastSight is the part of the caches that events must show for it: by shares, routers that see little move more prefixes
 	// between them than the hash does.
 	LeastSight float64
@@ -51,7 +53,7 @@
 // Defaults returns the parameters in use.
 func Defaults() Options {
 	return Options{
-		Prefixes: 1 << 15, Width: 2, Sample: 60, LeastSight: 0.8, Stray: 0.5, Blind: 6, Again: 2,
+		Prefixes: 1 << 15, Width: 2, Sample: 60, HomeShare: HashShare, LeastSight: 0.8, Stray: 0.5, Blind: 6, Again: 2,
 		Near: 5 * time.Millisecond, LoadFactor: 4, LoadFloor: 8, HotKeys: 128, HotMemory: 30 * time.Second,
 		Kept: 0.2, EventSilence: 3 * time.Second, EventLag: 500 * time.Millisecond,
 	}
@@ -185,7 +187,7 @@
 		p.narrow(r, total, n)
 		return
 	}
-	key, want := affinity(r, HashShare), 1
+	key, want := affinity(r, p.opt.HomeShare), 1
 	if total >= p.opt.Sample {
 		want = p.width(key, total, n)
 	}
