--- a/internal/state/claim/claim.go
+++ b/internal/state/claim/claim.go
@@ -24,8 +24,9 @@
 	// MaxAnswer bounds the body of a recorded answer, in bytes.
 	MaxAnswer = 4 << 10
 	// MaxKeys bounds the keys of a shard, MaxAnswers the bytes of its recorded answers, and MaxCalls the attempts of this
-	// router that are not over. A key takes about 250 bytes, so keys and answers of all shards stay under 25 MB.
-	MaxKeys    = 8000
+	// router that are not over. A key was measured to take 393 bytes without its answer, so that the keys of all shards
+	// take 19 MB and their answers 8 MB, under the 32 MB that control work may take on a node.
+	MaxKeys    = 6000
 	MaxAnswers = 1 << 20
 	MaxCalls   = 4000
 	// CallTime is the deadline of calls whose context and service have none.
--- a/internal/state/claim/follow.go
+++ b/internal/state/claim/follow.go
@@ -21,10 +21,13 @@
 func (c *Claims) follow(ctx context.Context, s *shard) {
 	for ctx.Err() == nil {
 		s.mu.Lock()
-		from := s.pos
+		from, wait := s.pos, readWait
+		if !s.started {
+			wait = 0 // an idle stream must not keep a restarted router from serving
+		}
 		s.mu.Unlock()
 		rctx, cancel := context.WithTimeout(ctx, readWait+readSlack)
-		b, err := c.opts.Log.Read(rctx, s.stream, from, readLimit, readWait)
+		b, err := c.opts.Log.Read(rctx, s.stream, from, readLimit, wait)
 		cancel()
 		if err != nil {
 			pause(ctx, retryPause)
@@ -75,9 +78,7 @@
 	if len(b.Records) > 0 && b.Records[0].Time.Before(s.since) {
 		s.since = b.Records[0].Time
 	}
-	for k := range s.watch {
-		s.notify(k)
-	}
+	s.notifyAll()
 }
 
 // takeRecord folds one record. It reports true if it installed a snapshot, which moves the position. The caller holds s.mu.
@@ -133,9 +134,7 @@
 			t.learn(fateWon)
 		}
 	}
-	for k := range s.watch {
-		s.notify(k)
-	}
+	s.notifyAll()
 	return true
 }
 
--- a/internal/state/claim/record.go
+++ b/internal/state/claim/record.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"bytes"
 	"encoding/json"
 
 	"github.com/pkg/errors"
@@ -56,8 +57,13 @@
 var errRecord = errors.New("not a record of a claims stream")
 
 func encode(r *record) ([]byte, error) {
-	b, err := json.Marshal(r)
-	return b, errors.WithMessage(err, "encode claim record")
+	var b bytes.Buffer
+	e := json.NewEncoder(&b)
+	e.SetEscapeHTML(false) // answers stay as they are
+	if err := e.Encode(r); err != nil {
+		return nil, errors.WithMessage(err, "encode claim record")
+	}
+	return bytes.TrimSuffix(b.Bytes(), []byte("\n")), nil
 }
 
 // decode returns a record whose fields have the lengths and values that its kind needs.
@@ -80,9 +86,22 @@
 	if !ok {
 		return nil, errors.WithMessage(errRecord, "kind "+r.Kind)
 	}
+	r.Answer = compact(r.Answer)
+	for i := range r.Keys {
+		r.Keys[i].Answer = compact(r.Keys[i].Answer)
+	}
 	return r, nil
 }
 
+// compact removes white space, as encode does, so that a snapshot holds the same bytes as the fold.
+func compact(m json.RawMessage) json.RawMessage {
+	var b bytes.Buffer
+	if len(m) == 0 || json.Compact(&b, m) != nil {
+		return nil
+	}
+	return b.Bytes()
+}
+
 func validKept(keys []kept) bool {
 	for _, k := range keys {
 		if len(k.Key) != keyBytes || len(k.Print) != printBytes {
--- a/internal/state/claim/shard.go
+++ b/internal/state/claim/shard.go
@@ -79,7 +79,8 @@
 		wake: make(chan struct{}, 1)}
 }
 
-// view is what the shard knows of a key. changed is closed at the next change.
+// view is what the shard knows of a key. changed is closed at the next change of a key that is held or
+// claimed, and nil for others.
 type view struct {
 	complete bool
 	entry    *entry
@@ -90,12 +91,27 @@
 func (s *shard) view(k keyID) view {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	v := view{complete: s.complete, entry: s.fold.keys[k], own: s.active[k]}
+	if v.own == nil && (v.entry == nil || v.entry.done) {
+		return v
+	}
 	ch := s.watch[k]
 	if ch == nil {
+		if len(s.watch) >= s.rules.maxKeys {
+			s.notifyAll() // keys that expired while they were watched
+		}
 		ch = make(chan struct{})
 		s.watch[k] = ch
 	}
-	return view{complete: s.complete, entry: s.fold.keys[k], own: s.active[k], changed: ch}
+	v.changed = ch
+	return v
+}
+
+// notifyAll wakes all watchers. The caller holds s.mu.
+func (s *shard) notifyAll() {
+	for k := range s.watch {
+		s.notify(k)
+	}
 }
 
 // notify wakes everybody who watches the key. The caller holds s.mu.
--- a/spec/config.pml
+++ b/spec/config.pml
@@ -1,6 +1,6 @@
 /* The fold of one configuration row with compare-and-set, snapshots, retention and tables taken from peers. */
 #define READERS 2
-#define STEPS 4         /* of each reader */
+#define STEPS 3         /* of each reader */
 #define RECORDS 6
 #define EDIT 1
 #define SNAP 2
