--- a/internal/state/claim/follow.go
+++ b/internal/state/claim/follow.go
@@ -79,9 +79,7 @@
 	if len(b.Records) > 0 && b.Records[0].Time.Before(s.since) {
 		s.since = b.Records[0].Time
 	}
-	for k := range s.watch {
-		s.notify(k)
-	}
+	s.notifyAll()
 }
 
 // takeRecord folds one record. It reports true if it installed a snapshot, which moves the position. The caller holds s.mu.
@@ -137,9 +135,7 @@
 			t.learn(fateWon)
 		}
 	}
-	for k := range s.watch {
-		s.notify(k)
-	}
+	s.notifyAll()
 	return true
 }
 
