Keep a load slot until a lost command can no longer take effect

Cause: sharper fakes showed three loads at once and two engines of a group out of service: a command whose connection was lost arrived after its slot had been released. A slot is now kept while such a command can still arrive and while the load that it started goes on, unless the engine took a later command and checks fencing tokens. A successor on an engine with fencing sends at least one command, so that the engine refuses those of the dead holder. A definite refusal (*Error with outcome NotRun) keeps nothing. The first read of the stream no longer waits 10 s for records.

The fake now counts the engines that load instead of the loads that were started, because a load that is replaced on the same engine or dies with it is not one more; it has three groups of four engines, so that the limit of two loads and the limit of one engine in four can each fail; and it fails when a command is sent with a lower fencing token than an earlier one, or two versions are sent with one.

Ruled out: holding the slot for every failed command, because an engine that refuses would keep others waiting.

--- a/internal/state/order/controller.go
+++ b/internal/state/order/controller.go
@@ -65,13 +65,16 @@
 
 // follow folds the stream for as long as the controller runs.
 func (c *Controller) follow(ctx context.Context) {
+	wait := time.Duration(0) // the first read tells where the stream ends
 	for ctx.Err() == nil {
 		read, cancel := context.WithTimeout(ctx, readTimeout)
-		b, err := c.opts.Log.Read(read, Stream, c.next, readLimit, longPoll)
+		b, err := c.opts.Log.Read(read, Stream, c.next, readLimit, wait)
 		cancel()
 		if err != nil || !c.take(b) {
 			sleep(ctx, readPause)
+			continue
 		}
+		wait = longPoll
 	}
 }
 
@@ -123,6 +126,8 @@
 type job struct {
 	endpoint qm.EndpointID
 	base     qm.Offset
+	// takeover tells that the last holder did not release the slot, so that a command of it may still be on its way.
+	takeover bool
 }
 
 // pick finds the next job of a slot. A slot whose holder's lease ran out is taken over with its endpoint.
@@ -141,7 +146,7 @@
 		if !known || !w.fences {
 			wait += LongestDelay
 		}
-		return job{cur.endpoint, cur.fence}, now.Sub(c.seen[i]) >= wait && c.opts.Owner(cur.endpoint)
+		return job{cur.endpoint, cur.fence, true}, now.Sub(c.seen[i]) >= wait && c.opts.Owner(cur.endpoint)
 	}
 	loading := c.loading(math.MaxInt64)
 	skip := i
@@ -159,7 +164,7 @@
 			loading = append(loading, id)
 			continue
 		}
-		return job{id, cur.fence}, true
+		return job{id, cur.fence, false}, true
 	}
 	return job{}, false
 }
--- a/internal/state/order/options.go
+++ b/internal/state/order/options.go
@@ -17,7 +17,8 @@
 // Engines sends commands to engines.
 type Engines interface {
 	// Desire tells an endpoint what to load and to do. It returns when the engine took or refused the command, which is
-	// before the load has ended.
+	// before the load has ended. An *Error with outcome NotRun means that the engine refused it; after any other error
+	// it may take effect, now or within LongestDelay.
 	Desire(ctx context.Context, e *qm.Endpoint, fence qm.Offset, v qm.VersionID, adapters []qm.AdapterID, role string) error
 }
 
--- a/internal/state/order/order_test.go
+++ b/internal/state/order/order_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -17,17 +18,25 @@
 	"quetzalmount.dev/quetzalmount/internal/state/order"
 )
 
-const loadTime = 2 * time.Second
+const (
+	engines  = 12
+	loadTime = 2 * time.Second
+	// slow is the travel time of a slow command.
+	slow = order.LongestDelay - 100*time.Millisecond
+	// repeats of each case, because the routers race.
+	repeats = 4
+)
 
 // engine is a fake engine. It serves nothing while it loads.
 type engine struct {
 	view    qm.Endpoint
 	fence   qm.Offset
-	loads   int // generation, so that a crash stops the load
+	last    qm.VersionID // of the last command
+	loads   int          // generation, so that a crash stops the load
 	refuses bool
 }
 
-// fleet is a group of fake engines and what was observed of them.
+// fleet is three groups of fake engines and what was observed of them.
 type fleet struct {
 	t       *testing.T
 	board   *board.Board
@@ -35,11 +44,12 @@
 	fences  bool
 	version qm.VersionID
 
-	mu                 sync.Mutex
-	engines            []*engine
-	loading            int
-	mostLoads, mostOut int
-	sent               []command
+	mu        sync.Mutex
+	engines   []*engine
+	mostLoads int
+	mostOut   map[qm.GroupID]int
+	sent      []command
+	highest   map[qm.EndpointID]qm.Offset // fence that was sent
 }
 
 type command struct {
@@ -47,11 +57,12 @@
 	version qm.VersionID
 }
 
-func newFleet(t *testing.T, n int, fences bool) *fleet {
-	f := &fleet{t: t, board: board.New(), log: logsrv.New(logsrv.Options{}), fences: fences}
-	for i := range n {
+func newFleet(t *testing.T, fences bool) *fleet {
+	f := &fleet{t: t, board: board.New(), log: logsrv.New(logsrv.Options{}), fences: fences, mostOut: make(map[qm.GroupID]int),
+		highest: make(map[qm.EndpointID]qm.Offset)}
+	for i := range engines {
 		f.engines = append(f.engines, &engine{view: qm.Endpoint{
-			ID: qm.EndpointID(fmt.Sprintf("e%02d", i)), Kind: qm.KindEngine, Group: "g", State: qm.Live, Incarnation: "1", Version: "v1",
+			ID: qm.EndpointID(fmt.Sprintf("e%02d", i)), Kind: qm.KindEngine, Group: group(i), State: qm.Live, Incarnation: "1", Version: "v1",
 		}})
 	}
 	f.change("v2")
@@ -61,81 +72,114 @@
 	return f
 }
 
+// groups have four engines each, so that a quarter is one engine, and all groups together would load three at once.
+var groups = []qm.GroupID{"g", "h", "i"}
+
+func group(i int) qm.GroupID { return groups[i*len(groups)/engines] }
+
 // change puts a table with another version in force.
 func (f *fleet) change(v qm.VersionID) {
 	f.version = v
-	f.board.Table.Store(&qm.Config{
-		Models: map[qm.ModelID]*qm.Model{"m": {ID: "m", Group: "g", Version: v}},
-		Groups: map[qm.GroupID]*qm.Group{"g": {ID: "g", Fences: f.fences, Role: "mixed"}},
-	})
+	c := &qm.Config{Models: make(map[qm.ModelID]*qm.Model), Groups: make(map[qm.GroupID]*qm.Group)}
+	for _, g := range groups {
+		m := qm.ModelID("model-" + g)
+		c.Models[m] = &qm.Model{ID: m, Group: g, Version: v}
+		c.Groups[g] = &qm.Group{ID: g, Fences: f.fences, Role: "mixed"}
+	}
+	f.board.Table.Store(c)
 }
 
 func (f *fleet) publish() {
 	var all qm.Endpoints
-	out := 0
+	loads, out := 0, make(map[qm.GroupID]int)
 	for _, e := range f.engines {
 		v := e.view
 		all = append(all, &v)
 		if v.Version == "" {
-			out++
+			loads++
+			f.mostLoads = max(f.mostLoads, loads)
+			out[v.Group]++
+			f.mostOut[v.Group] = max(f.mostOut[v.Group], out[v.Group])
 		}
 	}
-	f.mostOut = max(f.mostOut, out)
 	f.board.Endpoints.Store(all)
 }
 
 // start starts a router whose commands travel for some time, whatever its context says.
-func (f *fleet) start(name string, log qm.Log, travel time.Duration) *order.Controller {
+func (f *fleet) start(name string, log qm.Log, travel time.Duration, owned ...qm.EndpointID) *order.Controller {
 	return order.New(f.t.Context(), order.Options{
-		Log: log, Board: f.board, Holder: name, Engines: client{f, travel}, Owner: func(qm.EndpointID) bool { return true },
+		Log: log, Board: f.board, Holder: name, Engines: client{f, travel, new(atomic.Int64)},
+		Owner: func(id qm.EndpointID) bool { return len(owned) == 0 || slices.Contains(owned, id) },
 	})
 }
 
 type client struct {
 	f      *fleet
-	travel time.Duration
+	travel time.Duration // of every other command
+	n      *atomic.Int64
 }
 
-func (c client) Desire(_ context.Context, e *qm.Endpoint, fence qm.Offset, v qm.VersionID, _ []qm.AdapterID, _ string) error {
+// connection is when the connection of a slow command breaks.
+const connection = 200 * time.Millisecond
+
+// Desire returns an error when the command is slow, but the command arrives all the same.
+func (c client) Desire(ctx context.Context, e *qm.Endpoint, fence qm.Offset, v qm.VersionID, _ []qm.AdapterID, _ string) error {
 	f := c.f
 	f.mu.Lock()
 	f.sent = append(f.sent, command{time.Now(), v})
+	if f.highest[e.ID] > fence {
+		f.t.Errorf("a command for %s was sent with fence %d after one with %d", e.ID, fence, f.highest[e.ID])
+	}
+	f.highest[e.ID] = fence
 	f.mu.Unlock()
-	time.Sleep(c.travel)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, en := range f.engines {
-		if en.view.ID == e.ID {
-			return f.arrive(en, fence, v)
+	travel := time.Duration(0)
+	if c.n.Add(1)%2 == 1 {
+		travel = c.travel
+	}
+	answer := make(chan error, 1)
+	time.AfterFunc(travel, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for _, en := range f.engines {
+			if en.view.ID == e.ID {
+				answer <- f.arrive(en, fence, v)
+			}
 		}
+	})
+	select {
+	case err := <-answer:
+		return err
+	case <-time.After(connection):
+		return errors.New("connection lost")
+	case <-ctx.Done():
+		return ctx.Err()
 	}
-	return errors.New("no such engine")
 }
 
 func (f *fleet) arrive(e *engine, fence qm.Offset, v qm.VersionID) error {
 	if e.refuses {
-		return errors.New("refused")
+		return qm.Refuse(qm.CodeEndpoint, "desire", "refused")
 	}
 	if fence < e.fence {
-		if !f.fences {
-			f.t.Errorf("%s got a command with fence %d after %d", e.view.ID, fence, e.fence)
+		if !f.fences && v != e.last {
+			f.t.Errorf("%s got a command for %s with fence %d after one for %s with %d", e.view.ID, v, fence, e.last, e.fence)
 		}
 		return errors.New("stale fence")
 	}
-	e.fence = fence
+	if fence == e.fence && v != e.last {
+		f.t.Errorf("%s got commands for %s and %s with fence %d", e.view.ID, e.last, v, fence)
+	}
+	e.fence, e.last = fence, v
 	if e.view.Version == v {
 		return nil
 	}
 	e.loads++
-	f.loading++
-	f.mostLoads = max(f.mostLoads, f.loading)
 	e.view.Version = ""
 	f.publish()
 	load := e.loads
 	time.AfterFunc(loadTime, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		f.loading--
 		if e.loads == load {
 			e.view.Version = v
 			f.publish()
@@ -190,10 +234,22 @@
 	return n
 }
 
+// changeAfter starts a router and changes the table some time later.
+func (f *fleet) changeAfter(wait, travel time.Duration) *order.Controller {
+	a := f.start("a", f.log, travel)
+	time.Sleep(wait)
+	f.change("v3")
+	changed := time.Now()
+	time.Sleep(time.Minute)
+	if n := f.sentBetween(changed.Add(time.Millisecond), time.Now(), "v2"); n > 0 {
+		f.t.Errorf("%d commands for the old weights after the change", n)
+	}
+	return a
+}
+
 // TestRollOut guards against an engine that stays behind or takes an older command after a newer one, against more than two
 // loads at once, and against a roll-out that takes more than a quarter of the group out of service.
 func TestRollOut(t *testing.T) {
-	const engines = 8
 	tests := []struct {
 		name string
 		run  func(t *testing.T, f *fleet) []*order.Controller
@@ -204,13 +260,17 @@
 		{"three routers", func(_ *testing.T, f *fleet) []*order.Controller {
 			return []*order.Controller{f.start("a", f.log, 0), f.start("b", f.log, 0), f.start("c", f.log, 0)}
 		}},
+		{"two routers take engines of one group", func(_ *testing.T, f *fleet) []*order.Controller {
+			f.log.SetFaults(logsrv.Faults{DelayMs: 50})
+			return []*order.Controller{f.start("a", f.log, 0, "e05"), f.start("b", f.log, 0)}
+		}},
 		{"holder paused while it claims", func(_ *testing.T, f *fleet) []*order.Controller {
 			a := f.start("a", &pausedLog{Log: f.log, pause: 9 * time.Second}, 0)
 			time.Sleep(time.Second)
 			return []*order.Controller{a, f.start("b", f.log, 0)}
 		}},
 		{"holder paused while it sends", func(_ *testing.T, f *fleet) []*order.Controller {
-			a := f.start("a", f.log, qm.LeaseTime+order.LongestDelay-time.Second)
+			a := f.start("a", f.log, slow)
 			time.Sleep(time.Second)
 			return []*order.Controller{a, f.start("b", f.log, 0)}
 		}},
@@ -237,7 +297,7 @@
 			for range 200 {
 				time.Sleep(100 * time.Millisecond)
 				p := a.Progress()[3]
-				failed = failed || p.Step == order.Failed && p.Error == "command to e03: refused" && p.Desired == "v2"
+				failed = failed || p.Step == order.Failed && p.Error == "command to e03: desire: refused" && p.Desired == "v2"
 			}
 			if !failed {
 				t.Errorf("progress never showed the failure: %+v", a.Progress()[3])
@@ -251,33 +311,43 @@
 			f.update(0, func(e *engine) { e.loads++; e.view.Incarnation = "2"; e.view.Version = "v1"; e.fence = 0 })
 			return []*order.Controller{a}
 		}},
-		{"table changes during load", func(t *testing.T, f *fleet) []*order.Controller {
-			a := f.start("a", f.log, 0)
-			time.Sleep(3 * time.Second)
+		{"table changes after a lost connection", func(_ *testing.T, f *fleet) []*order.Controller {
+			return []*order.Controller{f.changeAfter(500*time.Millisecond, slow)}
+		}},
+		{"table changes while a repeated command travels", func(_ *testing.T, f *fleet) []*order.Controller {
+			return []*order.Controller{f.changeAfter(3*time.Second, slow)}
+		}},
+		{"holder dies while a command travels", func(_ *testing.T, f *fleet) []*order.Controller {
+			a := f.start("a", f.log, slow)
+			time.Sleep(50 * time.Millisecond) // a claims first
+			b := f.start("b", f.log, 0)
+			time.Sleep(450 * time.Millisecond)
+			a.Close()
 			f.change("v3")
-			changed := time.Now()
-			time.Sleep(time.Minute)
-			if n := f.sentBetween(changed.Add(time.Millisecond), time.Now(), "v2"); n > 0 {
-				t.Errorf("%d commands for the old weights after the change", n)
-			}
-			return []*order.Controller{a}
+			return []*order.Controller{b}
+		}},
+		{"table changes during load", func(_ *testing.T, f *fleet) []*order.Controller {
+			return []*order.Controller{f.changeAfter(3500*time.Millisecond, 0)}
 		}},
 	}
 	for _, tt := range tests {
-		for _, fences := range []bool{true, false} {
+		for i := range 2 * repeats {
+			fences := i%2 == 0
 			t.Run(fmt.Sprintf("%s/fences=%v", tt.name, fences), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					f := newFleet(t, engines, fences)
+					f := newFleet(t, fences)
 					routers := tt.run(t, f)
 					time.Sleep(4 * time.Minute)
 					if ids := f.behind(); len(ids) > 0 {
 						t.Errorf("behind are %v", ids)
 					}
-					if f.mostLoads > order.Slots {
-						t.Errorf("%d loads at once", f.mostLoads)
+					if f.mostLoads != 2 {
+						t.Errorf("at most %d loads at once, want 2", f.mostLoads)
 					}
-					if f.mostOut > engines/order.OutShare {
-						t.Errorf("%d engines of %d out of service at once", f.mostOut, engines)
+					for g, n := range f.mostOut {
+						if n > 1 {
+							t.Errorf("%d of 4 engines of group %s out of service at once", n, g)
+						}
 					}
 					for _, c := range routers {
 						for _, p := range c.Progress() {
--- a/internal/state/order/want.go
+++ b/internal/state/order/want.go
@@ -18,7 +18,7 @@
 // met reports whether the endpoint reports what is wanted. An endpoint that reports no role does any.
 func (w want) met() bool {
 	e := w.endpoint
-	return e.Version == w.version && sameSet(e.Adapters, w.adapters) && (e.Role == w.role || e.Role == "")
+	return e != nil && e.Version == w.version && sameSet(e.Adapters, w.adapters) && (e.Role == w.role || e.Role == "")
 }
 
 func sameSet(a, b []qm.AdapterID) bool {
--- a/internal/state/order/work.go
+++ b/internal/state/order/work.go
@@ -30,8 +30,9 @@
 		if err != nil {
 			continue
 		}
-		r := &run{c: c, lease: l, deadline: time.Now().Add(loadTimeout)}
+		r := &run{c: c, lease: l, takeover: j.takeover, deadline: time.Now().Add(loadTimeout)}
 		err = r.load(ctx)
+		held := r.hold(ctx)
 		l = r.lease
 		if err != nil {
 			c.opts.Logger.Info("engine not changed", "Endpoint", l.endpoint, "Error", err.Error())
@@ -39,7 +40,7 @@
 			c.failures[l.endpoint] = failure{until: time.Now().Add(retryAfter), err: err}
 			c.mu.Unlock()
 		}
-		if l.good() {
+		if held == nil && l.good() {
 			c.release(ctx, l)
 		}
 	}
@@ -113,6 +114,7 @@
 type run struct {
 	c        *Controller
 	lease    lease
+	takeover bool
 	deadline time.Time
 	// tried is the last command that was sent, and done tells that the endpoint took it.
 	tried *want
@@ -127,7 +129,9 @@
 	for {
 		all := r.c.wants()
 		w, known := find(all, r.lease.endpoint)
-		if !known || w.met() || w.endpoint.State == qm.Leaving {
+		// After a takeover one command is sent in any case, so that the engine refuses those of the last holder.
+		finished := w.met() && (r.done || !r.takeover || !w.fences)
+		if !known || finished || w.endpoint.State == qm.Leaving {
 			return nil
 		}
 		if r.tried == nil && !r.spare(all, w) {
@@ -186,12 +190,20 @@
 	if r.done = err == nil; r.done {
 		return nil
 	}
-	r.failed = time.Now()
+	var refused *qm.Error
+	if !errors.As(err, &refused) || refused.Outcome != qm.NotRun {
+		r.failed = time.Now()
+	}
 	if r.refusals++; r.refusals < mostRefusals {
 		return nil
 	}
-	// The slot is kept until the command cannot arrive any more, because the next holder may command something else.
-	for !w.fences && !r.settled() {
+	return err
+}
+
+// hold keeps the slot while a command of unknown effect can still arrive and while the load that it started goes on. The
+// next holder may command something else, and the slots must count that load.
+func (r *run) hold(ctx context.Context) error {
+	for r.tried != nil && (r.unsettled() || r.loading()) {
 		if err := r.renew(ctx, false); err != nil {
 			return err
 		}
@@ -199,7 +211,17 @@
 			return ctx.Err()
 		}
 	}
-	return err
+	return nil
+}
+
+// unsettled reports whether a command of unknown effect can still take effect. An engine that checks fencing tokens refuses
+// it once it took a later one.
+func (r *run) unsettled() bool { return !r.settled() && !(r.tried.fences && r.done) }
+
+// loading reports whether the endpoint serves nothing because of a command of unknown effect.
+func (r *run) loading() bool {
+	w, known := find(r.c.wants(), r.lease.endpoint)
+	return known && !r.failed.IsZero() && w.endpoint.Version == "" && time.Now().Before(r.deadline)
 }
 
 func (r *run) settled() bool { return r.failed.IsZero() || time.Since(r.failed) >= LongestDelay }
