Wait for one loan where the caller can, and measure the costs of limits

The first request of a team after a pause, through an instance that is not its home, was refused whenever its prompt was larger than the floor, although the home had a full bucket; and its advised wait was worked out as if the home had nothing. The wait now assumes a home that was not asked lately to have its burst, slots are asked for in the same message, and AdmitWithin waits for one answer of the home. Admit still never waits.

--- a/internal/limit/queue/queue.go
+++ b/internal/limit/queue/queue.go
@@ -92,7 +92,7 @@
 	q.dispatch(time.Now())
 }
 
-// Waiting returns the number of waiting requests, and Running of those that have slots.
+// Waiting returns the number of waiting requests.
 func (q *Queue) Waiting() int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/internal/limit/share/admit.go
+++ b/internal/limit/share/admit.go
@@ -1,10 +1,13 @@
 package share
 
 import (
+	"context"
 	"math"
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	qm "quetzalmount.dev/quetzalmount"
 )
 
@@ -60,6 +63,40 @@
 	return l.take(cfg, tm, nil, &need, t)
 }
 
+// AdmitWithin is Admit for callers that can wait for one answer of the team's home. The first request after a pause often
+// costs more than the floor of this instance holds; it would be refused although the team is far below its limit. It
+// returns the refusal at once if a loan cannot help within patience.
+func (l *Limiter) AdmitWithin(ctx context.Context, cfg *qm.Team, cost qm.Cost, patience time.Duration) (qm.Grant, error) {
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	for {
+		answered := l.lent.Changed()
+		g, err := l.Admit(cfg, cost, time.Now())
+		var e *qm.Error
+		if err == nil || !errors.As(err, &e) || e.RetryAfter == 0 || e.RetryAfter > max(minRetry, patience) || !l.reachable(l.roleOf(cfg.ID)) {
+			return g, err
+		}
+		select {
+		case <-answered:
+		case <-timer.C:
+			return nil, err
+		case <-ctx.Done():
+			return nil, err
+		}
+	}
+}
+
+// roleOf returns the role of a team that has state.
+func (l *Limiter) roleOf(id qm.TeamID) role {
+	s := l.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if tm := s.teams[id]; tm != nil {
+		return tm.role
+	}
+	return role{}
+}
+
 // lends reports whether this instance is the home by role r and older loans have run out.
 func (l *Limiter) lends(r role, now time.Duration) bool {
 	return r.self && now >= r.since+qm.LeaseTime && !l.paused(now)
@@ -71,9 +108,13 @@
 	refusal := l.missing(cfg, tm, a, need, now)
 	if tm.plans.bounded {
 		tm.run.SetCapacity(l.capacity(tm, a, now))
-		if refusal == nil && !tm.run.Acquire() {
+		switch {
+		case refusal == nil && tm.run.Acquire():
+		case tm.run.Used() >= tm.run.Capacity():
 			tm.missedSlot = now
-			refusal = busy(cfg, tm)
+			if refusal == nil {
+				refusal = l.busy(cfg, tm, a, now)
+			}
 		}
 	} else if refusal == nil {
 		tm.run.SetCapacity(math.MaxInt)
--- a/internal/limit/share/borrow.go
+++ b/internal/limit/share/borrow.go
@@ -226,6 +226,7 @@
 	for i, g := range resp.GetGranted() {
 		l.receive(b.req.GetWants()[i], g.GetUnits(), b.home.Instance, sent, until)
 	}
+	l.lent.Store(until)
 }
 
 // receive takes one item that a home lent.
@@ -242,11 +243,20 @@
 		if tm.role.home.Instance == from {
 			tm.slotsHeld, tm.heldUntil = int(units), until
 		}
+		if units < want.GetUnits() {
+			tm.slotsDenied = l.now()
+		}
 		return
 	}
 	for d := range names {
-		if names[d] == want.GetDimension() && units > 0 {
+		if names[d] != want.GetDimension() {
+			continue
+		}
+		if units > 0 {
 			tm.dims[d].loans = append(tm.dims[d].loans, spendable{math.Min(units, want.GetUnits()), sent, until})
 		}
+		if units < want.GetUnits() {
+			tm.dims[d].denied = l.now()
+		}
 	}
 }
--- a/internal/limit/share/limiter.go
+++ b/internal/limit/share/limiter.go
@@ -10,6 +10,7 @@
 	"golang.org/x/time/rate"
 
 	qm "quetzalmount.dev/quetzalmount"
+	"quetzalmount.dev/quetzalmount/internal/state/board"
 )
 
 // Limiter implements quetzalmount.Limiter.
@@ -25,6 +26,8 @@
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 
+	// lent changes whenever a home answered.
+	lent board.Cell[time.Duration]
 	// warm bounds the messages for quiet teams.
 	warm *rate.Limiter
 
--- a/internal/limit/share/refuse.go
+++ b/internal/limit/share/refuse.go
@@ -46,13 +46,16 @@
 }
 
 // busy refuses a request because too many run. A slot is free again after about the mean time of a request divided by the
-// number that run.
-func busy(cfg *qm.Team, tm *team) *qm.Error {
+// number that run, or after an answer of the home if that was not asked lately.
+func (l *Limiter) busy(cfg *qm.Team, tm *team, a *account, now time.Duration) *qm.Error {
 	mean := tm.hold
 	if mean == 0 {
 		mean = time.Second.Seconds()
 	}
 	wait := clamp(mean / float64(max(1, tm.run.Used())))
+	if a == nil && l.reachable(tm.role) && (tm.slotsDenied == 0 || now-tm.slotsDenied > pressing) {
+		wait = minRetry
+	}
 	return qm.Refuse(qm.CodeConcurrency, "admit",
 		"Team %s already has as many requests running as it may (%d at a time, over all its scripts together): wait %s or for one to finish and send the same request again, it was not run.",
 		cfg.ID, cfg.Limits.Concurrency, wait).After(wait)
@@ -95,6 +98,10 @@
 		home.level, home.rate = a.pools[d].bucket.Level(now), p.homeRate
 	case l.reachable(tm.role):
 		home.rate = p.homeRate
+		if x := &tm.dims[d]; x.denied == 0 || now-x.denied > pressing {
+			// The home was not asked lately, so that its bucket may be full.
+			home.level = p.homeBurst
+		}
 	case tm.role.self:
 		home.rate = p.homeRate
 		first = math.Max(0, (tm.role.since + qm.LeaseTime - now).Seconds())
--- a/internal/limit/share/share_test.go
+++ b/internal/limit/share/share_test.go
@@ -123,8 +123,9 @@
 					w.stop()
 					r, in, o := w.worst()
 					got := [3]float64{r / limits.RequestsPerMinute, in / limits.PromptTokensPerMinute, o / limits.OutputTokensPerMinute}
-					t.Logf("worst minute: %.3f of the requests, %.3f of the prompt tokens, %.3f of the output tokens; bound %.3f",
-						got[0], got[1], got[2], 1+c.over)
+					each := (4 * time.Minute).Seconds() * float64(c.n)
+					t.Logf("worst minute: %.3f of the requests, %.3f of the prompt tokens, %.3f of the output tokens; bound %.3f; %.2f messages and %.0f B without headers a second from each instance",
+						got[0], got[1], got[2], 1+c.over, float64(w.calls)/each, float64(w.bytes)/each)
 					most := max(got[0], got[1], got[2])
 					if most > 1+c.over {
 						t.Errorf("%.3f of a limit admitted in a minute, bound %.3f", most, 1+c.over)
@@ -194,6 +195,36 @@
 	}
 }
 
+// TestFirstRequest guards against a refusal of the first request that a team sends after a pause through an instance that
+// is not its home, with a prompt that is larger than the floor.
+func TestFirstRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 6, qm.Limits{RequestsPerMinute: 60, PromptTokensPerMinute: 100000, Concurrency: 4}, 0)
+		defer w.stop()
+		time.Sleep(5 * time.Minute)
+		l, cost := w.nodes[(w.home()+1)%6].limiter, qm.Cost{PromptTokens: 6000}
+		_, err := l.Admit(w.team, cost, time.Now())
+		if e := qm.AsError(err); err == nil || e.RetryAfter > 200*time.Millisecond {
+			t.Errorf("nothing is lent yet and the home's bucket is full, but Admit returned %v", err)
+		}
+		time.Sleep(5 * time.Minute)
+		begin := time.Now()
+		g, err := l.AdmitWithin(t.Context(), w.team, cost, 100*time.Millisecond)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Logf("admitted after %v, one way to the home takes %v", time.Since(begin), latency)
+		g.Release(0)
+		begin = time.Now()
+		for err == nil {
+			_, err = l.AdmitWithin(t.Context(), w.team, cost, 100*time.Millisecond)
+		}
+		if took := time.Since(begin); took > 2*time.Second {
+			t.Errorf("waited %v for a limit that is used up", took)
+		}
+	})
+}
+
 // TestSingleInstance measures what a script gets that sends everything through one instance, for several floors.
 func TestSingleInstance(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/limit/share/team.go
+++ b/internal/limit/share/team.go
@@ -22,6 +22,8 @@
 	heldUntil time.Duration
 	// missedSlot is when a request was last refused for concurrency.
 	missedSlot time.Duration
+	// slotsDenied is when the home last lent fewer slots than were asked for.
+	slotsDenied time.Duration
 	// hold is the mean time in seconds that a request takes.
 	hold float64
 	last time.Duration
@@ -39,6 +41,8 @@
 	// cost is that of the last request, missing that of the last one if it was refused.
 	cost, missing float64
 	missedAt      time.Duration
+	// denied is when the home last lent less than was asked for.
+	denied time.Duration
 	// unused is reserved units that were not used, to be given back to the home.
 	unused float64
 }
