Tighten the placement tests after breaking the code on purpose

Cause: with single lines of the policy changed, the tests stayed green for the correction of load by own dispatches, the mark of a gap, the width of hot prefixes, the learning from first tokens, the lots, the entries of failed requests, and the kind of cut in a key.

--- a/internal/route/prefix/prefix_test.go
+++ b/internal/route/prefix/prefix_test.go
@@ -55,6 +55,8 @@
 		{"same blocks, longer message", same, msgs(long + "y"), msgs(long + "z"), 3},
 		{"message boundary moved", same, msgs("ab", "c"), msgs("a", "bc"), 0},
 		{"role moved into text", same, msgs("a"), []quetzalmount.Message{{Role: "use", Content: "ra"}}, 0},
+		{"message ends at a block", same, msgs(long[:blockBytes] + "y"),
+			[]quetzalmount.Message{{Role: "user", Content: long[:blockBytes]}, {Content: "y"}}, 0},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
