Count lost events by their numbers only

Cause: a gap before the first events that a router reads from an engine counted as many lost events as had arrived, so each restarted router took half of the events for lost and made copies too dear. Numbers missing within and between batches are counted now; what comes before the first batch is no loss. TestLoss checks it with a gap before the first batch.

--- a/internal/route/place/learn.go
+++ b/internal/route/place/learn.go
@@ -84,7 +84,7 @@
 		return
 	}
 	e.heard = p.fleet.tick(now)
-	p.lost(e, events, gap)
+	p.lost(e, events)
 	// Events describe the past. An entry that an own dispatch renewed since is newer than an eviction reported now.
 	then := p.fleet.tick(now.Add(-p.opt.EventLag))
 	if gap {
@@ -105,18 +105,17 @@
 	}
 }
 
-// lost learns the share of an engine's events that do not arrive, from their numbers.
-func (p *Expected) lost(e *engine, events []quetzalmount.CacheEvent, gap bool) {
+// lost learns the share of an engine's events that do not arrive, from the numbers missing among them. Those before the first
+// events of an incarnation may be no longer retained, which is no loss.
+func (p *Expected) lost(e *engine, events []quetzalmount.CacheEvent) {
 	if len(events) == 0 {
 		return
 	}
-	missed := int64(0)
-	switch first := events[0].Seq; {
-	case gap && e.last > 0 && first > e.last+1:
-		missed = first - e.last - 1
-	case gap:
-		missed = int64(len(events))
+	from := e.last + 1
+	if e.last == 0 {
+		from = events[0].Seq
 	}
+	missed := max(0, events[len(events)-1].Seq-from+1-int64(len(events)))
 	e.last = events[len(events)-1].Seq
 	n := int64(len(events)) + missed
 	w := 1 - math.Exp(-float64(n)/lossMemory)
--- a/internal/route/place/place_test.go
+++ b/internal/route/place/place_test.go
@@ -186,7 +186,7 @@
 func TestLoss(t *testing.T) {
 	x := newTester(t)
 	x.place(ask("a", "v1", "c", 1), view(1, nil))
-	seq := int64(0)
+	seq, early := int64(70000), 0.0
 	for i := range 200 {
 		events := make([]quetzalmount.CacheEvent, 10)
 		for j := range events {
@@ -194,10 +194,17 @@
 			events[j] = quetzalmount.CacheEvent{Seq: seq, Stored: true, Block: quetzalmount.PrefixKey(seq)}
 		}
 		if i%4 != 3 {
-			x.p.Observe("e0", "one", events, i%4 == 0 && i > 0, x.now)
+			// A new reader gets the first events with a gap before them; that gap is no loss.
+			x.p.Observe("e0", "one", events, i%4 == 0, x.now)
+		}
+		if i == 0 {
+			early = x.p.fleet.engines[0].loss
 		}
 	}
 	e := x.p.fleet.engines[0]
+	if early > 0 {
+		t.Errorf("share of lost events = %.2f after the first batch, want 0", early)
+	}
 	if e.loss < 0.2 || e.loss > 0.3 || e.gap == 0 {
 		t.Errorf("share of lost events = %.2f, gap at %d, want 0.25 and a gap", e.loss, e.gap)
 	}
