Queue requests fairly in front of the engines and keep test ports apart

Cause: requests waited in the engines' own queues, where a team's weight means nothing. In two runs of seven the end-to-end tests waited for a router that had ended: its port, taken from the range of outgoing connections, was in use (bind: address already in use). A queue for each group holds what the engines have no room for. Its capacity is what the other routers leave of 1.5 times the engines' slots, from their reports less own requests, and at least an equal share. Ruled out: an equal share alone, which leaves engines idle when callers use the two advised routers of their team. The floor's part of a limit is 0.1 now, as the limits' measurements chose it; the settings had the design's 0.25. The bound of the hammering test is worked out from the stated division of a limit. Conclusion: ports of the tests lie below 32000, a router that ends by itself fails its test at once, and stacks of all routers are kept when a test fails.

--- a/internal/entry/e2e/e2e_test.go
+++ b/internal/entry/e2e/e2e_test.go
@@ -218,8 +218,9 @@
 	for range d.routers {
 		total += <-admitted
 	}
-	// A bucket may hold what its rate brings in one second, on each instance.
-	most := limit*(seconds+1)/60 + len(d.routers)
+	// What flows in over the time, the home's burst of a tenth, the floors' bursts of a quarter of a tenth, and one request for
+	// rounding on each instance.
+	most := limit*seconds/60 + limit/10 + limit/40 + len(d.routers)
 	if total == 0 || total > most {
 		t.Errorf("%d requests admitted in %d s, want 1 to %d", total, seconds, most)
 	}
--- a/internal/entry/e2e/harness_test.go
+++ b/internal/entry/e2e/harness_test.go
@@ -46,7 +46,7 @@
 	operatorKey = "demo-operator-key"
 	// patience bounds every wait for a condition. It is far above what any of them takes, so that it only ends a test that
 	// would wait for ever.
-	patience = 60 * time.Second
+	patience = 30 * time.Second
 )
 
 // teams are those of the sheet with their demo keys, without the one with low limits.
@@ -82,6 +82,16 @@
 	}
 }
 
+// ended reports whether the process has ended.
+func (p *process) ended() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // router is one router with its addresses.
 type router struct {
 	*process
@@ -102,14 +112,26 @@
 	procs    []*process
 }
 
+// Ports of the processes lie below the range from which the system takes ports of outgoing connections. A port from that range
+// may be taken while its process restarts.
+const firstPort, lastPort = 23000, 32000
+
+var nextPort = firstPort + os.Getpid()%4000
+
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range lastPort - firstPort {
+		if nextPort++; nextPort > lastPort {
+			nextPort = firstPort
+		}
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", nextPort))
+		if err == nil {
+			_ = l.Close()
+			return l.Addr().String()
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	t.Fatal("no free port")
+	return ""
 }
 
 // start runs a program and ends it with the test.
@@ -225,6 +247,13 @@
 
 // stop ends all processes and shows the end of the routers' logs if the test failed.
 func (d *deployment) stop() {
+	if d.t.Failed() {
+		// The runtime writes the stacks of all goroutines to the log of each router and ends it.
+		for _, r := range d.routers {
+			_ = r.cmd.Process.Signal(syscall.SIGQUIT)
+			<-r.done
+		}
+	}
 	for _, p := range d.procs {
 		_ = p.cmd.Process.Signal(syscall.SIGCONT)
 		_ = p.cmd.Process.Kill()
@@ -233,11 +262,14 @@
 	if !d.t.Failed() {
 		return
 	}
-	for _, r := range d.routers {
-		data, err := os.ReadFile(filepath.Join(d.dir, r.name+".log"))
-		if err == nil {
-			d.t.Logf("%s:\n%s", r.name, data[max(0, len(data)-4000):])
-		}
+	kept, err := os.MkdirTemp("", "quetzalmount-logs")
+	if err != nil {
+		d.t.Log(err)
+		return
+	}
+	d.t.Logf("the logs of all processes are in %s", kept)
+	if err := os.CopyFS(kept, os.DirFS(d.dir)); err != nil {
+		d.t.Log(err)
 	}
 }
 
@@ -262,9 +294,14 @@
 	return []string{"--instances", strings.Join(addresses, ",")}
 }
 
-// eventually waits until cond holds.
+// eventually waits until cond holds. It fails at once if a router ended by itself.
 func (d *deployment) eventually(what string, cond func() bool) {
 	d.t.Helper()
+	for _, r := range d.routers {
+		if r.process != nil && r.ended() && r.code > 0 {
+			d.t.Fatalf("%s ended with %d while waiting for: %s", r.name, r.code, what)
+		}
+	}
 	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		if cond() {
 			return
--- a/internal/entry/server/health.go
+++ b/internal/entry/server/health.go
@@ -1,8 +1,6 @@
 package server
 
 import (
-	"context"
-
 	"github.com/pkg/errors"
 
 	qm "quetzalmount.dev/quetzalmount"
@@ -28,9 +26,6 @@
 	h.roster.Failed(id)
 }
 
-// noQueue grants places at once; the engines' own queues hold what waits.
-func noQueue(context.Context, *qm.Team, qm.GroupID, qm.Tokens) (func(), error) { return func() {}, nil }
-
 // oneRetry allows every retry; the callers of Retry bound the tries of one request.
 type oneRetry struct{}
 
--- a/internal/entry/server/parts.go
+++ b/internal/entry/server/parts.go
@@ -60,6 +60,7 @@
 	limiter *share.Limiter
 	gate    *gate.Gate
 	health  *health
+	slots   *slots
 	placer  qm.Placer
 	// observer is the placer's view of cache events, nil for policies that use none.
 	observer qm.CacheObserver
@@ -176,6 +177,8 @@
 	})
 	p.onClose(p.limiter.Close)
 	p.gate = gate.New(p.limiter)
+	p.slots = newSlots(ctx, p.board, p.settings)
+	p.onClose(p.slots.close)
 	p.health = &health{roster: p.roster}
 }
 
@@ -190,7 +193,7 @@
 	p.streams = stream.New(p.engines, stream.Options{FirstToken: p.settings.FirstToken, Progress: p.settings.Progress})
 	p.closeQuietly("streams", p.streams.Close)
 	p.relay = relay.New(relay.Deps{
-		Board: p.board, Admit: p.gate.Admit, Slots: noQueue, Budget: oneRetry{}, Placer: p.placer, Streamer: p.streams, Health: p.health,
+		Board: p.board, Admit: p.gate.Admit, Slots: p.slots.acquire, Budget: oneRetry{}, Placer: p.placer, Streamer: p.streams, Health: p.health,
 		Meter: p.meter,
 	})
 	p.invoker = invoke.New(invoke.Deps{Board: p.board, Client: p.services, Health: p.health, Retry: oneRetry{}.Retry})
--- a/internal/infra/conf/conf.go
+++ b/internal/infra/conf/conf.go
@@ -110,7 +110,7 @@
 		numeric("Limits", "EntrySlots", "6", 1, 10000,
 			"Number of entry instances. Each owns FloorFraction / EntrySlots of every limit. Equal on all instances.",
 			func(s *Settings) *int { return &s.EntrySlots }),
-		numeric("Limits", "FloorFraction", "0.25", 0, 1,
+		numeric("Limits", "FloorFraction", "0.1", 0, 1,
 			"Part of every limit that is divided among the instances for good; the rest is leased. Equal on all instances.",
 			func(s *Settings) *float64 { return &s.FloorFraction }),
 		numeric("Limits", "MaxBodyBytes", "8388608", int64(1024), int64(1<<30), "Largest body of a request, in bytes.",
