--- /dev/null
+++ b/internal/route/retry/retry_test.go
@@ -0,0 +1,214 @@
+package retry_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/pkg/errors"
+	"pgregory.net/rapid"
+
+	qm "quetzalmount.dev/quetzalmount"
+	"quetzalmount.dev/quetzalmount/internal/route/retry"
+)
+
+// TestMay guards against a second run of a call that must not run twice.
+func TestMay(t *testing.T) {
+	lost := qm.Fail(qm.CodeEndpoint, "dispatch", "tally-1", errors.New("connection lost"))
+	for name, test := range map[string]struct {
+		err  error
+		want [3]bool // Once, Deduplicated, Repeatable
+	}{
+		"none":           {nil, [3]bool{}},
+		"not reached":    {qm.Refuse(qm.CodeEndpoint, "connect", "refused"), [3]bool{true, true, true}},
+		"wrapped":        {errors.Wrap(qm.Refuse(qm.CodeNoEndpoint, "place", "none"), "call"), [3]bool{true, true, true}},
+		"lost":           {lost, [3]bool{false, true, true}},
+		"untyped":        {errors.New("anything"), [3]bool{false, true, true}},
+		"caller left":    {errors.Wrap(context.Canceled, "call"), [3]bool{}},
+		"bad request":    {qm.Refuse(qm.CodeBadRequest, "decode", "no"), [3]bool{}},
+		"own limit":      {qm.Refuse(qm.CodeRateLimit, "admit", "no"), [3]bool{}},
+		"key conflict":   {qm.Refuse(qm.CodeConflict, "claim", "no"), [3]bool{}},
+		"already done":   {&qm.Error{Code: qm.CodeEndpoint, Outcome: qm.Done}, [3]bool{}},
+		"router leaving": {qm.Refuse(qm.CodeLeaving, "claim", "no"), [3]bool{}},
+	} {
+		var got [3]bool
+		for i, r := range []retry.Repeat{retry.Once, retry.Deduplicated, retry.Repeatable} {
+			got[i] = retry.May(test.err, r)
+		}
+		if diff := cmp.Diff(test.want, got); diff != "" {
+			t.Errorf("%s: %s", name, diff)
+		}
+	}
+}
+
+func ExampleRepeatOf() {
+	svc := &qm.Service{Repeatable: []string{"status"}, Dedupes: true}
+	fmt.Println(retry.RepeatOf(&qm.Call{Service: svc, Name: "status"}) == retry.Repeatable,
+		retry.RepeatOf(&qm.Call{Service: svc, Name: "post", Key: "k"}) == retry.Deduplicated,
+		retry.RepeatOf(&qm.Call{Service: svc, Name: "post"}) == retry.Once)
+	// Output: true true true
+}
+
+// TestBudget guards against more retries than a tenth of the requests, in any order of requests, retries and idle times.
+func TestBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := retry.NewBudget()
+		now := time.Unix(1, 0)
+		requests, retries := 0, 0
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			case 0:
+				now = now.Add(time.Duration(rapid.IntRange(0, 90).Draw(t, "idle")) * time.Second)
+			case 1, 2, 3:
+				if b.Spend("a") {
+					retries++
+				}
+			default:
+				b.Request("a", now)
+				requests++
+			}
+			if retries*retry.RequestsPerRetry > requests {
+				t.Fatalf("%d retries of %d requests", retries, requests)
+			}
+		}
+		b.Request("b", now.Add(2*time.Minute))
+		if got := b.Teams(); got != 1 {
+			t.Fatalf("%d teams have state after the others were idle, want 1", got)
+		}
+	})
+}
+
+// TestAmplification guards against retries that multiply the load on an endpoint that fails for a minute.
+func TestAmplification(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := retry.NewBudget()
+		var requests, sent atomic.Int64
+		var callers sync.WaitGroup
+		for c := range 40 {
+			team := qm.TeamID(fmt.Sprint("team-", c%8))
+			rnd := rand.New(rand.NewPCG(uint64(c), 0))
+			callers.Go(func() {
+				for end := time.Now().Add(time.Minute); time.Now().Before(end); time.Sleep(time.Duration(rnd.IntN(100)) * time.Millisecond) {
+					ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+					requests.Add(1)
+					b.Request(team, time.Now())
+					for n, more := 0, true; more; n++ {
+						sent.Add(1)
+						time.Sleep(10 * time.Millisecond)
+						var wait time.Duration
+						err := qm.Fail(qm.CodeEndpoint, "call", "e", errors.New("overloaded"))
+						if wait, more = b.Next(ctx, team, err, retry.Repeatable, n, rnd); more {
+							time.Sleep(wait)
+						}
+					}
+					cancel()
+				}
+			})
+		}
+		callers.Wait()
+		retries := sent.Load() - requests.Load()
+		t.Logf("%d requests, %d retries", requests.Load(), retries)
+		if retries*10 > requests.Load() || retries*12 < requests.Load() {
+			t.Errorf("%d retries of %d requests, want at most 10%% and at least 8%%", retries, requests.Load())
+		}
+	})
+}
+
+// TestBreaker guards against more than one probe, probes too early, and failures of old requests that reopen.
+func TestBreaker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := retry.NewBreakers()
+		allow := func(want bool, when string) retry.Permit {
+			t.Helper()
+			p, ok := b.Allow("e", time.Now())
+			if ok != want {
+				t.Fatalf("%s: allowed = %v, want %v", when, ok, want)
+			}
+			return p
+		}
+		old := allow(true, "closed")
+		for range retry.FailuresToOpen {
+			allow(true, "before enough failures").Report(false, time.Now())
+		}
+		allow(false, "open")
+		time.Sleep(time.Second)
+		probe := allow(true, "probe")
+		allow(false, "second probe")
+		old.Report(false, time.Now())
+		probe.Report(false, time.Now())
+		time.Sleep(time.Second)
+		allow(false, "failed probe doubles the time")
+		time.Sleep(time.Second)
+		allow(true, "probe that never reports")
+		time.Sleep(10 * time.Second)
+		allow(true, "probe after a lost one").Report(true, time.Now())
+		allow(true, "closed again")
+		if b.Len() != 0 {
+			t.Errorf("%d entries for working endpoints, want 0", b.Len())
+		}
+		for i := range retry.MaxEntries + 10 {
+			p, _ := b.Allow(qm.EndpointID(fmt.Sprint(i)), time.Now())
+			p.Report(false, time.Now())
+		}
+		if b.Len() != retry.MaxEntries {
+			t.Errorf("%d entries, want %d", b.Len(), retry.MaxEntries)
+		}
+	})
+}
+
+// TestDeadline guards against a deadline that grows, or gets lost, on its way from the caller to the endpoint.
+func TestDeadline(t *testing.T) {
+	for in, want := range map[string]string{"": "2000", "500": "400", "99999999": "9900", "9223372036854775807": "9900", "0": "refused", "-1": "refused",
+		"1s": "refused", "50": "late"} {
+		synctest.Test(t, func(t *testing.T) {
+			h, out := http.Header{}, http.Header{}
+			if in != "" {
+				h.Set(retry.Header, in)
+			}
+			got := "refused"
+			if ctx, cancel, err := retry.WithDeadline(t.Context(), h, 2100*time.Millisecond, 10*time.Second); err == nil {
+				defer cancel()
+				time.Sleep(100 * time.Millisecond)
+				got = "late"
+				if err := retry.SetHeader(ctx, out); err == nil {
+					got = out.Get(retry.Header)
+				}
+			}
+			if got != want {
+				t.Errorf("%q: got %s, want %s", in, got, want)
+			}
+		})
+	}
+}
+
+// TestNext guards against waits beyond the deadline and against ignoring what the refusal asks for.
+func TestNext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := retry.NewBudget()
+		for range 20 {
+			b.Request("a", time.Now())
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		rnd := rand.New(rand.NewPCG(1, 1))
+		refusal := func(after time.Duration) error { return qm.Refuse(qm.CodeEndpoint, "call", "busy").After(after) }
+		if d, ok := b.Next(ctx, "a", refusal(time.Second), retry.Once, 0, rnd); !ok || d < time.Second || d > 1020*time.Millisecond {
+			t.Errorf("wait %v, %v, want 1 s and a jitter of 20 ms at most", d, ok)
+		}
+		if d, ok := b.Next(ctx, "a", refusal(4*time.Second), retry.Once, 0, rnd); ok {
+			t.Errorf("wait %v goes beyond the deadline", d)
+		}
+		for n := range 100 {
+			if d := retry.Wait(n, refusal(0), rnd); d < 0 || d > 2*time.Second {
+				t.Errorf("retry %d waits %v", n, d)
+			}
+		}
+	})
+}
