Break circuits, bound retries and pass deadlines on the whole path

Cause: every retry was allowed, and an engine that failed all requests kept getting them until the roster suspected it. Plain calls carry the time that is left. Ruled out: taking a permit for each candidate, which uses up probes of engines that are not chosen; refusing when all breakers are open, since a request that may fail is better. Conclusion: the interfaces Health, Attempt and RetryBudget are in the root package.

--- a/internal/client/plain/plain.go
+++ b/internal/client/plain/plain.go
@@ -15,6 +15,7 @@
 
 	qm "quetzalmount.dev/quetzalmount"
 	"quetzalmount.dev/quetzalmount/internal/client/pool"
+	"quetzalmount.dev/quetzalmount/internal/route/retry"
 )
 
 // errCrossed is the cause of a failure when an answer carries the id of another request.
@@ -65,7 +66,7 @@
 	}
 	req, err := newCall(ctx, e, op, call)
 	if err != nil {
-		return 0, nil, qm.Refuse(qm.CodeBadRequest, "call", "%v", err).At(e.Address)
+		return 0, nil, qm.Refuse(qm.CodeTimeout, "call", "%v", err).At(e.Address)
 	}
 	status, body, err := exchange(h, req, "call", e, string(call.Request))
 	if err != nil {
@@ -97,6 +98,9 @@
 	if token, ok := ctx.Value(fenceKey{}).(qm.Offset); ok {
 		h.Set("X-Fence", strconv.FormatInt(int64(token), 10))
 	}
+	if err := retry.SetHeader(ctx, req.Header); err != nil {
+		return nil, err
+	}
 	return req, nil
 }
 
--- a/internal/entry/server/health.go
+++ b/internal/entry/server/health.go
@@ -1,36 +1,74 @@
 package server
 
 import (
+	"time"
+
 	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
 
 	qm "quetzalmount.dev/quetzalmount"
 	"quetzalmount.dev/quetzalmount/internal/member/roster"
+	"quetzalmount.dev/quetzalmount/internal/route/retry"
 )
 
-// health passes what a request observes of an endpoint to the roster.
-type health struct{ roster *roster.Roster }
+// health joins the circuit breakers with the roster: what a request observes of an endpoint reaches both.
+type health struct {
+	breakers *retry.Breakers
+	roster   *roster.Roster
+}
+
+// Ready implements quetzalmount.Health.
+func (h *health) Ready(id qm.EndpointID) bool { return h.breakers.Ready(id, time.Now()) }
 
-// Allow reports whether an endpoint may be used. The roster has the states.
-func (h *health) Allow(qm.EndpointID) bool { return true }
+// Begin implements quetzalmount.Health.
+func (h *health) Begin(id qm.EndpointID) qm.Attempt {
+	return &attempt{health: h, id: id, permit: h.breakers.Begin(id, time.Now())}
+}
+
+// attempt is one request at an endpoint.
+type attempt struct {
+	health *health
+	id     qm.EndpointID
+	permit retry.Permit
+}
 
-// Succeeded tells that the endpoint answered.
-func (h *health) Succeeded(id qm.EndpointID) { h.roster.Succeeded(id, "") }
+// Succeeded implements quetzalmount.Attempt.
+func (a *attempt) Succeeded() {
+	a.permit.Report(true, time.Now())
+	a.health.roster.Succeeded(a.id, "")
+}
 
-// Failed tells that a request failed at the endpoint. A full queue is no fault of the endpoint, and a request that the
-// endpoint calls invalid is one of the caller.
-func (h *health) Failed(id qm.EndpointID, err error) {
+// Failed implements quetzalmount.Attempt. A full queue is no fault of the endpoint, and a request that the endpoint calls invalid is
+// one of the caller.
+func (a *attempt) Failed(err error) {
 	var e *qm.Error
 	if errors.As(err, &e) && (e.Code == qm.CodeQueueFull || e.Code == qm.CodeBadRequest) {
+		a.permit.Report(true, time.Now())
 		return
 	}
-	h.roster.Failed(id)
+	a.permit.Report(false, time.Now())
+	a.health.roster.Failed(a.id)
+}
+
+const (
+	// reservePerSecond and reserveBurst are the retries that an instance allows beside what the teams have earned. A team that
+	// sends a request a minute has earned none when its engine crashes.
+	reservePerSecond = 1
+	reserveBurst     = 10
+)
+
+// budget bounds retries: each team spends what its requests have earned, then the small reserve of the instance.
+type budget struct {
+	teams   *retry.Budget
+	reserve *rate.Limiter
 }
 
-// oneRetry allows every retry; the callers of Retry bound the tries of one request.
-type oneRetry struct{}
+func newBudget() *budget {
+	return &budget{teams: retry.NewBudget(), reserve: rate.NewLimiter(reservePerSecond, reserveBurst)}
+}
 
-// Request implements relay.Budget.
-func (oneRetry) Request(qm.TeamID) {}
+// Request implements quetzalmount.RetryBudget.
+func (b *budget) Request(team qm.TeamID) { b.teams.Request(team, time.Now()) }
 
-// Retry implements relay.Budget.
-func (oneRetry) Retry(qm.TeamID) bool { return true }
+// Retry implements quetzalmount.RetryBudget.
+func (b *budget) Retry(team qm.TeamID) bool { return b.teams.Spend(team) || b.reserve.Allow() }
--- a/internal/entry/server/parts.go
+++ b/internal/entry/server/parts.go
@@ -25,6 +25,7 @@
 	"quetzalmount.dev/quetzalmount/internal/route/feed"
 	"quetzalmount.dev/quetzalmount/internal/route/invoke"
 	"quetzalmount.dev/quetzalmount/internal/route/relay"
+	"quetzalmount.dev/quetzalmount/internal/route/retry"
 	"quetzalmount.dev/quetzalmount/internal/route/stream"
 	"quetzalmount.dev/quetzalmount/internal/state/board"
 	"quetzalmount.dev/quetzalmount/internal/state/claim"
@@ -60,6 +61,7 @@
 	limiter *share.Limiter
 	gate    *gate.Gate
 	health  *health
+	budget  *budget
 	slots   *slots
 	placer  qm.Placer
 	// observer is the placer's view of cache events, nil for policies that use none.
@@ -179,7 +181,8 @@
 	p.gate = gate.New(p.limiter)
 	p.slots = newSlots(ctx, p.board, p.settings)
 	p.onClose(p.slots.close)
-	p.health = &health{roster: p.roster}
+	p.health = &health{breakers: retry.NewBreakers(), roster: p.roster}
+	p.budget = newBudget()
 }
 
 func (p *parts) addRoutes(ctx context.Context) {
@@ -193,10 +196,10 @@
 	p.streams = stream.New(p.engines, stream.Options{FirstToken: p.settings.FirstToken, Progress: p.settings.Progress})
 	p.closeQuietly("streams", p.streams.Close)
 	p.relay = relay.New(relay.Deps{
-		Board: p.board, Admit: p.gate.Admit, Slots: p.slots.acquire, Budget: oneRetry{}, Placer: p.placer, Streamer: p.streams, Health: p.health,
+		Board: p.board, Admit: p.gate.Admit, Slots: p.slots.acquire, Budget: p.budget, Placer: p.placer, Streamer: p.streams, Health: p.health,
 		Meter: p.meter,
 	})
-	p.invoker = invoke.New(invoke.Deps{Board: p.board, Client: p.services, Health: p.health, Retry: oneRetry{}.Retry})
+	p.invoker = invoke.New(invoke.Deps{Board: p.board, Client: p.services, Health: p.health, Retry: p.budget.Retry})
 }
 
 // followed tells the feed and the roster which engines get work.
--- a/internal/route/invoke/invoke.go
+++ b/internal/route/invoke/invoke.go
@@ -19,18 +19,11 @@
 // MaxTries bounds the processes that one call is offered to.
 const MaxTries = 3
 
-// Health takes what is observed of endpoints, and says which may be used.
-type Health interface {
-	Allow(id qm.EndpointID) bool
-	Succeeded(id qm.EndpointID)
-	Failed(id qm.EndpointID, err error)
-}
-
 // Deps are the parts that an Invoker works with.
 type Deps struct {
 	Board  *board.Board
 	Client qm.ServiceClient
-	Health Health
+	Health qm.Health
 	// Retry takes one retry of the team's budget and reports whether there was one.
 	Retry func(qm.TeamID) bool
 }
@@ -62,12 +55,13 @@
 		if try == MaxTries || (try > 0 && !i.deps.Retry(c.Team)) {
 			break
 		}
+		attempt := i.deps.Health.Begin(e.ID)
 		status, answer, err := i.deps.Client.Call(ctx, e, op, c)
 		if err == nil {
-			i.deps.Health.Succeeded(e.ID)
+			attempt.Succeeded()
 			return status, answer, nil
 		}
-		i.deps.Health.Failed(e.ID, err)
+		attempt.Failed(err)
 		last = err
 		if ctx.Err() != nil || !(repeat || isNotRun(err)) {
 			break
@@ -89,12 +83,14 @@
 func (i *Invoker) Status(ctx context.Context, op qm.OperationID, c *qm.Call) (qm.Result, bool, error) {
 	var last error
 	for _, e := range i.processes(c.Service.ID) {
+		attempt := i.deps.Health.Begin(e.ID)
 		r, found, err := i.deps.Client.Status(ctx, e, op)
 		if err != nil {
-			i.deps.Health.Failed(e.ID, err)
+			attempt.Failed(err)
 			last = err
 			continue
 		}
+		attempt.Succeeded()
 		if found {
 			return r, true, nil
 		}
@@ -120,7 +116,7 @@
 	for _, e := range i.processes(id) {
 		switch {
 		case e.State == qm.Leaving:
-		case e.State == qm.Live && i.deps.Health.Allow(e.ID):
+		case e.State == qm.Live && i.deps.Health.Ready(e.ID):
 			live = append(live, e)
 		default:
 			rest = append(rest, e)
--- /dev/null
+++ b/internal/route/invoke/invoke_test.go
@@ -0,0 +1,103 @@
+package invoke_test
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+
+	"github.com/pkg/errors"
+
+	qm "quetzalmount.dev/quetzalmount"
+	"quetzalmount.dev/quetzalmount/internal/route/invoke"
+	"quetzalmount.dev/quetzalmount/internal/state/board"
+)
+
+// client fails its first calls with errs, in order, and counts what ran.
+type client struct {
+	errs  []error
+	calls []qm.EndpointID
+	known map[qm.EndpointID]qm.Result
+}
+
+func (c *client) Call(_ context.Context, e *qm.Endpoint, _ qm.OperationID, _ *qm.Call) (int, json.RawMessage, error) {
+	c.calls = append(c.calls, e.ID)
+	if n := len(c.calls); n <= len(c.errs) {
+		return 0, nil, c.errs[n-1]
+	}
+	return 200, json.RawMessage(`"ok"`), nil
+}
+
+func (c *client) Status(_ context.Context, e *qm.Endpoint, _ qm.OperationID) (qm.Result, bool, error) {
+	r, ok := c.known[e.ID]
+	return r, ok, nil
+}
+
+type health struct{}
+
+func (health) Ready(qm.EndpointID) bool       { return true }
+func (health) Begin(qm.EndpointID) qm.Attempt { return health{} }
+func (health) Succeeded()                     {}
+func (health) Failed(error)                   {}
+
+func process(id qm.EndpointID, s qm.MemberState) *qm.Endpoint {
+	return &qm.Endpoint{ID: id, Kind: qm.KindService, Group: "tally", State: s}
+}
+
+func invoker(c *client, all qm.Endpoints) *invoke.Invoker {
+	b := board.New()
+	b.Endpoints.Store(all)
+	return invoke.New(invoke.Deps{Board: b, Client: c, Health: health{}, Retry: func(qm.TeamID) bool { return true }})
+}
+
+// TestDispatch guards against a call that must not run twice being sent again after a byte of it may have left.
+func TestDispatch(t *testing.T) {
+	notSent := qm.Refuse(qm.CodeNoEndpoint, "call", "connection refused")
+	lost := qm.Fail(qm.CodeEndpoint, "call", "tally-1", errors.New("connection reset"))
+	three := qm.Endpoints{process("1", qm.Live), process("2", qm.Live), process("3", qm.Live)}
+	tests := []struct {
+		name    string
+		all     qm.Endpoints
+		errs    []error
+		repeat  bool
+		calls   int
+		outcome qm.Outcome // empty if the call succeeds
+	}{
+		{"at once", three, nil, false, 1, ""},
+		{"not sent, another process", three, []error{notSent}, false, 2, ""},
+		{"answer lost", three, []error{lost}, false, 1, qm.Unknown},
+		{"not sent, then lost", three, []error{notSent, lost}, false, 2, qm.Unknown},
+		{"answer lost, may be repeated", three, []error{lost, lost}, true, 3, ""},
+		{"all refuse", three, []error{notSent, notSent, notSent, notSent}, false, 3, qm.NotRun},
+		{"only a leaving process", qm.Endpoints{process("1", qm.Leaving)}, nil, false, 0, qm.NotRun},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := &client{errs: tt.errs}
+			i := invoker(c, tt.all)
+			call := &qm.Call{Team: "a", Service: &qm.Service{ID: "tally"}, Name: "post"}
+			var err error
+			if tt.repeat {
+				_, err = i.Repeat(t.Context(), call)
+			} else {
+				_, _, err = i.Dispatch(t.Context(), "op", call)
+			}
+			var outcome qm.Outcome
+			if err != nil {
+				outcome = qm.AsError(err).Outcome
+			}
+			if outcome != tt.outcome || len(c.calls) != tt.calls {
+				t.Errorf("outcome %q after %d calls, want %q after %d (error %v)", outcome, len(c.calls), tt.outcome, tt.calls, err)
+			}
+		})
+	}
+}
+
+// TestStatus guards against an operation that is called absent because only one process was asked.
+func TestStatus(t *testing.T) {
+	c := &client{known: map[qm.EndpointID]qm.Result{"2": {Outcome: qm.Done, Status: 200}}}
+	i := invoker(c, qm.Endpoints{process("1", qm.Live), process("2", qm.Leaving)})
+	r, found, err := i.Status(t.Context(), "op", &qm.Call{Service: &qm.Service{ID: "tally"}})
+	if err != nil || !found || r.Outcome != qm.Done {
+		t.Errorf("Status() = %+v, %v, %v, want the result of the leaving process", r, found, err)
+	}
+}
--- a/internal/route/relay/engines.go
+++ b/internal/route/relay/engines.go
@@ -16,7 +16,7 @@
 		if e.Kind != qm.KindEngine || e.Group != group || e.State == qm.Leaving || slices.Contains(exclude, e.ID) {
 			continue
 		}
-		if r.deps.Health.Allow(e.ID) {
+		if r.deps.Health.Ready(e.ID) {
 			usable = append(usable, e)
 		} else {
 			open = append(open, e)
--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -27,21 +27,6 @@
 // Slots grants a place at the engines of a group. It waits in the fair queue.
 type Slots func(ctx context.Context, team *qm.Team, group qm.GroupID, cost qm.Tokens) (release func(), err error)
 
-// Health takes what the relay observes of engines, and says which may be used.
-type Health interface {
-	Allow(id qm.EndpointID) bool
-	Succeeded(id qm.EndpointID)
-	Failed(id qm.EndpointID, err error)
-}
-
-// Budget bounds the retries of a team.
-type Budget interface {
-	// Request counts a request of the team, which earns a part of a retry.
-	Request(team qm.TeamID)
-	// Retry takes one retry and reports whether there was one.
-	Retry(team qm.TeamID) bool
-}
-
 // Deps are the parts that a Relay works with.
 type Deps struct {
 	Board *board.Board
@@ -50,8 +35,8 @@
 	Slots    Slots
 	Placer   qm.Placer
 	Streamer *stream.Streamer
-	Health   Health
-	Budget   Budget
+	Health   qm.Health
+	Budget   qm.RetryBudget
 	Meter    *meter.Meter
 }
 
@@ -96,7 +81,7 @@
 			return deliver(chunk)
 		},
 		FirstToken: j.firstToken,
-		Failed:     func(d qm.Decision, err error) { r.deps.Health.Failed(d.Endpoint.ID, err) },
+		Failed:     func(_ qm.Decision, err error) { j.attempt.Failed(err) },
 		Left:       func(d qm.Decision) { r.deps.Placer.Finished(&j.request, d, time.Now()) },
 	})
 	series.Resumed(sum.Resumes)
@@ -120,6 +105,7 @@
 	// delivered is set with the first chunk; from then on the weights version stays.
 	delivered bool
 	counted   bool
+	attempt   qm.Attempt
 }
 
 // place chooses an engine for the job.
@@ -137,6 +123,7 @@
 			"No engine can take a request for %s now; nothing was run, try again later.", j.c.Model.ID).After(NoEngineRetry)
 	}
 	j.r.deps.Placer.Dispatched(&j.request, d, now)
+	j.attempt = j.r.deps.Health.Begin(d.Endpoint.ID)
 	return d, nil
 }
 
@@ -156,7 +143,7 @@
 
 func (j *job) firstToken(d qm.Decision, cached qm.Tokens) {
 	now := time.Now()
-	j.r.deps.Health.Succeeded(d.Endpoint.ID)
+	j.attempt.Succeeded()
 	j.r.deps.Placer.FirstToken(&j.request, d, cached, now)
 	if !j.counted {
 		j.counted = true
--- /dev/null
+++ b/internal/route/relay/relay_test.go
@@ -0,0 +1,235 @@
+package relay_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+
+	qm "quetzalmount.dev/quetzalmount"
+	"quetzalmount.dev/quetzalmount/internal/infra/meter"
+	"quetzalmount.dev/quetzalmount/internal/route/relay"
+	"quetzalmount.dev/quetzalmount/internal/route/stream"
+	"quetzalmount.dev/quetzalmount/internal/state/board"
+)
+
+// engines answer with two chunks; those in dead refuse connections.
+type engines struct {
+	mu    sync.Mutex
+	dead  map[qm.EndpointID]bool
+	asked []qm.EngineRequest
+	at    []qm.EndpointID
+}
+
+func (e *engines) Start(_ context.Context, to *qm.Endpoint, r *qm.EngineRequest) (qm.ChunkReader, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.asked, e.at = append(e.asked, *r), append(e.at, to.ID)
+	if e.dead[to.ID] {
+		return nil, qm.Refuse(qm.CodeNoEndpoint, "start", "connection refused").At(to.Address)
+	}
+	return &reader{}, nil
+}
+
+func (e *engines) Resume(context.Context, *qm.Endpoint, qm.Incarnation, qm.RequestID, int64) (qm.ChunkReader, error) {
+	return nil, errors.New("not expected")
+}
+
+func (e *engines) Cancel(context.Context, *qm.Endpoint, qm.RequestID) error { return nil }
+
+type reader struct{ next int64 }
+
+func (r *reader) Next(context.Context) (qm.Chunk, error) {
+	r.next++
+	switch r.next {
+	case 1:
+		return qm.Chunk{Number: 0, Text: "a", Cached: 3}, nil
+	case 2:
+		return qm.Chunk{Number: 1, Text: "b", Finish: "stop", Usage: &qm.Usage{Prompt: 5, Output: 2, Cached: 3}}, nil
+	}
+	return qm.Chunk{}, io.EOF
+}
+
+func (r *reader) Incarnation() qm.Incarnation { return "i" }
+func (r *reader) Close() error                { return nil }
+
+// world counts what the relay takes and gives back.
+type world struct {
+	mu                            sync.Mutex
+	granted, slots, placed, spent int
+	used                          qm.Tokens
+	retries                       int
+	open                          map[qm.EndpointID]bool
+	failed                        []qm.EndpointID
+}
+
+func (w *world) count(n *int, by int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	*n += by
+}
+
+func (w *world) admit(context.Context, *qm.Team, qm.Cost) (qm.Grant, error) {
+	w.count(&w.granted, 1)
+	return grant{w}, nil
+}
+
+type grant struct{ w *world }
+
+func (g grant) Release(used qm.Tokens) {
+	g.w.count(&g.w.granted, -1)
+	g.w.used += used
+}
+
+func (w *world) wait(context.Context, *qm.Team, qm.GroupID, qm.Tokens) (func(), error) {
+	w.count(&w.slots, 1)
+	return func() { w.count(&w.slots, -1) }, nil
+}
+
+func (w *world) Place(_ *qm.PlaceRequest, e []*qm.Endpoint, _ time.Time, rnd *rand.Rand) (qm.Decision, bool) {
+	if len(e) == 0 {
+		return qm.Decision{}, false
+	}
+	return qm.Decision{Endpoint: e[rnd.IntN(len(e))]}, true
+}
+
+func (w *world) Dispatched(*qm.PlaceRequest, qm.Decision, time.Time)            { w.count(&w.placed, 1) }
+func (w *world) FirstToken(*qm.PlaceRequest, qm.Decision, qm.Tokens, time.Time) {}
+func (w *world) Finished(*qm.PlaceRequest, qm.Decision, time.Time)              { w.count(&w.placed, -1) }
+func (w *world) Request(qm.TeamID)                                              {}
+func (w *world) Ready(id qm.EndpointID) bool                                    { return !w.open[id] }
+func (w *world) Begin(id qm.EndpointID) qm.Attempt                              { return &attempt{w, id} }
+
+func (w *world) Retry(qm.TeamID) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.spent++
+	return w.spent <= w.retries
+}
+
+type attempt struct {
+	w  *world
+	id qm.EndpointID
+}
+
+func (a *attempt) Succeeded() {}
+
+func (a *attempt) Failed(error) {
+	a.w.mu.Lock()
+	defer a.w.mu.Unlock()
+	a.w.failed = append(a.w.failed, a.id)
+}
+
+func engine(n int, v qm.VersionID, s qm.MemberState) *qm.Endpoint {
+	return &qm.Endpoint{ID: qm.EndpointID(fmt.Sprint("e", n)), Kind: qm.KindEngine, Group: "g", Version: v, State: s}
+}
+
+func run(t *testing.T, w *world, e *engines, all qm.Endpoints) (string, error) {
+	t.Helper()
+	b := board.New()
+	b.Endpoints.Store(all)
+	m := meter.New("entry-1", 4)
+	defer func() { _ = m.Close() }()
+	s := stream.New(e, stream.Options{})
+	defer func() { _ = s.Close() }()
+	r := relay.New(relay.Deps{Board: b, Admit: w.admit, Slots: w.wait, Placer: w, Streamer: s, Health: w, Budget: w, Meter: m})
+	text := ""
+	err := r.Complete(t.Context(), &qm.Completion{
+		Request: "r", Team: &qm.Team{ID: "t"}, Model: &qm.Model{ID: "m", Group: "g", Version: "v2", Continue: true},
+		Messages: []qm.Message{{Role: "user", Content: "hello"}}, PromptBytes: 5, MaxTokens: 9,
+	}, func(c qm.Chunk) error {
+		text += c.Text
+		return nil
+	})
+	return text, err
+}
+
+// TestComplete guards against grants, slots and load corrections that are not given back, and against requests that reach
+// engines which must not get them.
+func TestComplete(t *testing.T) {
+	tests := []struct {
+		name    string
+		engines qm.Endpoints
+		dead    map[qm.EndpointID]bool
+		open    map[qm.EndpointID]bool
+		retries int
+		code    qm.Code
+		at      []qm.EndpointID // every engine asked, in any order
+	}{
+		{name: "one engine", engines: qm.Endpoints{engine(1, "v2", qm.Live)}, at: []qm.EndpointID{"e1"}},
+		{name: "leaving engine gets nothing", engines: qm.Endpoints{engine(1, "v2", qm.Leaving), engine(2, "v2", qm.Live)}, at: []qm.EndpointID{"e2"}},
+		{name: "open breaker is avoided", engines: qm.Endpoints{engine(1, "v2", qm.Live), engine(2, "v2", qm.Live)}, open: map[qm.EndpointID]bool{"e1": true}, at: []qm.EndpointID{"e2"}},
+		{name: "all breakers open", engines: qm.Endpoints{engine(1, "v2", qm.Live)}, open: map[qm.EndpointID]bool{"e1": true}, at: []qm.EndpointID{"e1"}},
+		{name: "none left", engines: qm.Endpoints{engine(1, "v2", qm.Leaving)}, code: qm.CodeNoEndpoint},
+		{name: "other group", engines: qm.Endpoints{{ID: "x", Kind: qm.KindEngine, Group: "h", State: qm.Live}}, code: qm.CodeNoEndpoint},
+		{name: "dead engine, retry", engines: qm.Endpoints{engine(1, "v2", qm.Live), engine(2, "v2", qm.Suspect)}, dead: map[qm.EndpointID]bool{"e1": true, "e2": true}, retries: 5, code: qm.CodeNoEndpoint, at: []qm.EndpointID{"e1", "e2"}},
+		{name: "dead engine, no budget", engines: qm.Endpoints{engine(1, "v2", qm.Live)}, dead: map[qm.EndpointID]bool{"e1": true}, code: qm.CodeNoEndpoint, at: []qm.EndpointID{"e1"}},
+		{name: "version not known yet", engines: qm.Endpoints{engine(1, "", qm.Live)}, at: []qm.EndpointID{"e1"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := &world{retries: tt.retries, open: tt.open}
+				e := &engines{dead: tt.dead}
+				text, err := run(t, w, e, tt.engines)
+				var code qm.Code
+				if err != nil {
+					code = qm.AsError(err).Code
+					if qm.AsError(err).Outcome != qm.NotRun {
+						t.Errorf("outcome = %s, want NotRun, since no engine took the request", qm.AsError(err).Outcome)
+					}
+				}
+				if code != tt.code || (err == nil && (text != "ab" || w.used != 2)) {
+					t.Errorf("Complete() = %q, %v with %d tokens used, want code %q", text, err, w.used, tt.code)
+				}
+				if w.granted != 0 || w.slots != 0 || w.placed != 0 {
+					t.Errorf("left over: %d grants, %d slots, %d placed", w.granted, w.slots, w.placed)
+				}
+				seen := map[qm.EndpointID]bool{}
+				for _, id := range e.at {
+					seen[id] = true
+				}
+				for _, id := range tt.at {
+					if !seen[id] {
+						t.Errorf("asked %v, want %v", e.at, tt.at)
+					}
+				}
+				if len(seen) != len(tt.at) {
+					t.Errorf("asked %v, want %v", e.at, tt.at)
+				}
+			})
+		})
+	}
+}
+
+// TestVersions guards against requests that mix weights: the salt and the version must be those of the engine, and both parts
+// of a group that rolls out must get requests.
+func TestVersions(t *testing.T) {
+	old, new := engine(1, "v1", qm.Live), engine(2, "v2", qm.Live)
+	salts := map[qm.EndpointID]map[string]bool{"e1": {}, "e2": {}}
+	for range 64 {
+		w, e := &world{}, &engines{}
+		if _, err := run(t, w, e, qm.Endpoints{old, new}); err != nil {
+			t.Fatal(err)
+		}
+		want := map[qm.EndpointID]qm.VersionID{"e1": "v1", "e2": "v2"}[e.at[0]]
+		if e.asked[0].Version != want {
+			t.Fatalf("engine %s with %s was asked for %s", e.at[0], want, e.asked[0].Version)
+		}
+		salts[e.at[0]][e.asked[0].CacheSalt] = true
+	}
+	if len(salts["e1"]) != 1 || len(salts["e2"]) != 1 {
+		t.Fatalf("salts = %v, want one for each version", salts)
+	}
+	for salt := range salts["e1"] {
+		if salts["e2"][salt] {
+			t.Errorf("both versions share the salt %q", salt)
+		}
+	}
+}
--- a/internal/route/retry/breaker.go
+++ b/internal/route/retry/breaker.go
@@ -63,6 +63,23 @@
 	return p, true
 }
 
+// Ready reports whether Allow would let a request through, without taking the probe of an open breaker.
+func (b *Breakers) Ready(id qm.EndpointID, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.states[id]
+	return s == nil || s.open == 0 || !now.Before(s.until)
+}
+
+// Begin returns the permission for a request that is sent in any case, because no other endpoint is left. It is a probe if
+// the breaker lets one through.
+func (b *Breakers) Begin(id qm.EndpointID, now time.Time) Permit {
+	if p, ok := b.Allow(id, now); ok {
+		return p
+	}
+	return Permit{breakers: b, endpoint: id}
+}
+
 // Report tells whether the request succeeded. Connect errors, timeouts, refused commands and stalled streams are failures.
 func (p Permit) Report(ok bool, now time.Time) {
 	b := p.breakers
--- a/ports.go
+++ b/ports.go
@@ -238,3 +238,25 @@
 	// error of deliver ends the request.
 	Complete(ctx context.Context, c *Completion, deliver func(Chunk) error) error
 }
+
+// Attempt is one request at an endpoint. Its outcome is reported once.
+type Attempt interface {
+	Succeeded()
+	Failed(err error)
+}
+
+// Health says which endpoints may be used, and takes what requests observe of them.
+type Health interface {
+	// Ready reports whether the circuit breaker of an endpoint would let a request through.
+	Ready(id EndpointID) bool
+	// Begin counts a request that is sent now.
+	Begin(id EndpointID) Attempt
+}
+
+// RetryBudget bounds the retries of teams.
+type RetryBudget interface {
+	// Request counts a request of the team, which earns a part of a retry.
+	Request(team TeamID)
+	// Retry takes one retry and reports whether there was one.
+	Retry(team TeamID) bool
+}
