--- a/internal/state/config/keep.go
+++ b/internal/state/config/keep.go
@@ -5,8 +5,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-
-	qm "quetzalmount.dev/quetzalmount"
 )
 
 // mark is the time of a snapshot.
@@ -49,8 +47,12 @@
 	return c.marked.seen.IsZero() || c.marked.age() >= c.opts.Retention/2
 }
 
-// writeSnapshot appends the table in parts. After an append of unknown outcome it gives up; the next attempt has a new id,
-// so that parts of both are never mixed.
+// snapshotRetry is the pause after an append of a snapshot that failed; short, because a log that loses most answers must
+// not delay a snapshot by half of the retention time.
+const snapshotRetry = 200 * time.Millisecond
+
+// writeSnapshot appends the table in parts. An append of unknown outcome is repeated, since readers take a part that is there
+// twice once. The mark is only sent after every part was confirmed.
 func (c *Controller) writeSnapshot(ctx context.Context) error {
 	c.mu.Lock()
 	records, err := c.reader.Table().Snapshot(c.opts.NewAttempt(), c.opts.PartRows)
@@ -58,18 +60,21 @@
 	if err != nil {
 		return err
 	}
-	var p pause
+	ctx, cancel := context.WithTimeout(ctx, c.opts.Retention/2) // later, a newer table should be written
+	defer cancel()
 	for len(records) > 0 {
 		n := min(len(records), c.opts.PartsPerAppend)
+		if n == len(records) && n > 1 {
+			n-- // the mark has an append of its own
+		}
 		_, err := c.opts.Log.Append(ctx, Stream, records[:n])
-		if errors.Is(err, qm.ErrNotAppended) && c.opts.Owner() && p.wait(ctx) {
+		if err == nil {
+			records = records[n:]
 			continue
 		}
-		if err != nil {
+		if !c.opts.Owner() || !sleep(ctx, snapshotRetry) {
 			return errors.Wrap(err, "append snapshot")
 		}
-		p.reset()
-		records = records[n:]
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
