--- a/internal/member/peer/peer.go
+++ b/internal/member/peer/peer.go
@@ -14,6 +14,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -35,6 +36,9 @@
 	// check runs an extra call to a member, unless too many are under way.
 	check func(qm.Member)
 
+	// order is the members to call next. Only the loop of rounds uses it.
+	order []qm.InstanceID
+
 	mu      sync.Mutex
 	version int64
 	last    *peerpb.InstanceState
@@ -145,7 +149,30 @@
 			good = append(good, m)
 		}
 	}
-	return append(sample(good, Fanout), sample(suspect, 1)...)
+	return append(p.next(good), sample(suspect, 1)...)
+}
+
+// next returns the next Fanout members of a random order. When the order ends a new one begins, so that each member is
+// called once in every len(members)/Fanout rounds; independent draws leave a crashed router of six unnoticed for 5 s in
+// about 1 of 500 cases.
+func (p *Peer) next(good []qm.Member) []qm.Member {
+	var out []qm.Member
+	for pass := 0; pass < 2 && len(out) < min(Fanout, len(good)); pass++ {
+		if len(p.order) == 0 {
+			for _, m := range sample(good, len(good)) {
+				p.order = append(p.order, m.Instance)
+			}
+		}
+		for len(p.order) > 0 && len(out) < Fanout {
+			id := p.order[0]
+			p.order = p.order[1:]
+			at := func(m qm.Member) bool { return m.Instance == id }
+			if i := slices.IndexFunc(good, at); i >= 0 && !slices.ContainsFunc(out, at) {
+				out = append(out, good[i])
+			}
+		}
+	}
+	return out
 }
 
 func sample(m []qm.Member, n int) []qm.Member {
@@ -162,7 +189,9 @@
 	if m.State == qm.Suspect {
 		tries = 1
 	}
+	var began time.Time
 	for range tries {
+		began = time.Now()
 		resp, err := p.client.exchange(ctx, m, req)
 		if err == nil {
 			p.take(resp.GetSelf(), resp.GetOthers(), resp.GetHints())
@@ -172,7 +201,7 @@
 			return
 		}
 	}
-	if p.opts.Roster.PeerFailed(m.Instance) {
+	if p.opts.Roster.PeerFailed(m.Instance, began) {
 		p.news.addHint(roster.Hint{
 			Endpoint: qm.EndpointID(m.Instance), Incarnation: m.Incarnation, Kind: roster.HintFailed,
 		})
--- a/internal/member/roster/member.go
+++ b/internal/member/roster/member.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	qm "quetzalmount.dev/quetzalmount"
 )
@@ -12,6 +13,8 @@
 	view qm.Member
 	// listedLeaving, saidLeaving and suspect make up the state. saidLeaving belongs to one incarnation.
 	listedLeaving, saidLeaving, suspect bool
+	// heard is when the router itself last sent something.
+	heard time.Time
 	// version orders the states that arrive over several ways.
 	version int64
 }
@@ -82,7 +85,7 @@
 		return false
 	}
 	if direct {
-		m.suspect = false
+		m.suspect, m.heard = false, time.Now()
 	}
 	// The router itself is believed about its incarnation even if its clock was set back. A third router may pass on the
 	// state of an incarnation that has ended, so that its word counts only for a higher version.
@@ -102,12 +105,13 @@
 	return fresh
 }
 
-// PeerFailed tells that a router did not answer, and reports whether that was news. It stays suspect until it answers.
-func (r *Roster) PeerFailed(id qm.InstanceID) bool {
+// PeerFailed tells that a router did not answer a call that began at a time, and reports whether that was news. It stays
+// suspect until it answers. A call that began before the router was last heard proves nothing.
+func (r *Roster) PeerFailed(id qm.InstanceID, began time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	m := r.members[id]
-	if m == nil || m.view.Self || m.suspect {
+	if m == nil || m.view.Self || m.suspect || m.heard.After(began) {
 		return false
 	}
 	m.suspect = true
