--- a/internal/bench/slope/slope.go
+++ b/internal/bench/slope/slope.go
@@ -33,11 +33,12 @@
 	Base, PerX float64
 }
 
-// All returns the measures of all parts. The parts not listed yet (limits, membership, table, claims, streams) add theirs
-// here.
+// All returns the measures of all parts. Claims and the exchange between routers are measured by tests on the fake clock, which
+// docs/CAPACITY.md names.
 func All() []Measure {
 	var all []Measure
 	all = append(all, placement()...)
+	all = append(all, control()...)
 	return all
 }
 
--- a/internal/limit/gate/gate.go
+++ b/internal/limit/gate/gate.go
@@ -23,21 +23,30 @@
 	Patience = time.Second
 	// MaxWaiting bounds the requests of a team that wait on one instance.
 	MaxWaiting = 32
+	// loanWait is how long one try waits for a loan from the home of the team; an answer takes a few milliseconds.
+	loanWait = 100 * time.Millisecond
 	// minPause and jitter spread the next tries of requests that were refused together.
 	minPause = 20 * time.Millisecond
 	jitter   = 30 * time.Millisecond
 )
 
+// Limiter is a limiter that can wait for one loan.
+type Limiter interface {
+	qm.Limiter
+	// AdmitWithin is Admit, but waits up to patience for a loan.
+	AdmitWithin(ctx context.Context, team *qm.Team, cost qm.Cost, patience time.Duration) (qm.Grant, error)
+}
+
 // Gate admits requests. It is safe for concurrent use.
 type Gate struct {
-	limiter qm.Limiter
+	limiter Limiter
 
 	mu      sync.Mutex
 	waiting map[qm.TeamID]int
 }
 
 // New returns a gate before a limiter.
-func New(limiter qm.Limiter) *Gate {
+func New(limiter Limiter) *Gate {
 	return &Gate{limiter: limiter, waiting: make(map[qm.TeamID]int)}
 }
 
@@ -50,14 +59,14 @@
 	}
 	defer g.leave(team.ID)
 	for end := time.Now().Add(Patience); ; {
+		grant, err = g.limiter.AdmitWithin(ctx, team, cost, loanWait)
+		if err == nil || !passes(err, time.Until(end)) {
+			return grant, err
+		}
 		if !pause(ctx, retryAfter(err)) {
 			return nil, qm.Refuse(qm.CodeTimeout, "admit",
 				"The deadline passed before the limits of team %s let the request through; nothing was run.", team.ID)
 		}
-		grant, err = g.limiter.Admit(team, cost, time.Now())
-		if err == nil || !passes(err, time.Until(end)) {
-			return grant, err
-		}
 	}
 }
 
--- a/internal/limit/gate/gate_test.go
+++ b/internal/limit/gate/gate_test.go
@@ -27,6 +27,10 @@
 	return grant{}, nil
 }
 
+func (l *limiter) AdmitWithin(_ context.Context, t *qm.Team, c qm.Cost, _ time.Duration) (qm.Grant, error) {
+	return l.Admit(t, c, time.Now())
+}
+
 type grant struct{}
 
 func (grant) Release(qm.Tokens) {}
