Add TLS between routers

Cause: the callers' and the operators' listeners had TLS from the settings, the peers' listener had none. PeersCert, PeersKey and PeersCA go together; the certificate is reloaded like the others, and requests to peers trust only PeersCA. Ruled out: the system's root certificates, since the routers are reached by IP address; a transport of its own for peers, which would lose the bounded age of pooled connections. Conclusion: all three listeners have TLS, off by default.

--- a/internal/client/pool/pool.go
+++ b/internal/client/pool/pool.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
@@ -25,6 +26,8 @@
 	MaxAge         time.Duration
 	ConnectTimeout time.Duration
 	IdlePerHost    int
+	// TLS is used for https addresses; nil means the defaults of net/http.
+	TLS *tls.Config
 }
 
 // Pool is an http.RoundTripper whose pooled connections have a bounded age: after MaxAge it takes a new transport and
@@ -71,6 +74,7 @@
 		MaxIdleConnsPerHost: p.opts.IdlePerHost,
 		IdleConnTimeout:     p.opts.MaxAge,
 		DisableCompression:  true,
+		TLSClientConfig:     p.opts.TLS,
 	}
 }
 
--- a/internal/entry/e2e/e2e_test.go
+++ b/internal/entry/e2e/e2e_test.go
@@ -42,9 +42,12 @@
 }
 
 // TestEditInForce guards against an edit that is accepted and does not reach every instance, also while the log answers
-// slowly, and against a restarted instance that goes back to an older table.
+// slowly, and against a restarted instance that goes back to an older table. The routers speak TLS to each other.
 func TestEditInForce(t *testing.T) {
-	d := deploy(t, options{routers: 6, engines: 1, services: 1})
+	cert, key := writeCert(t)
+	d := deploy(t, options{routers: 6, engines: 1, services: 1, settings: [][3]string{
+		{"TLS", "PeersCert", cert}, {"TLS", "PeersKey", key}, {"TLS", "PeersCA", cert},
+	}})
 	d.logFaults(logsrv.Faults{DelayMs: 300})
 	if out, code := d.command("table", "set", "--log", d.log, "team", "chess-club", "Concurrency=33"); code != 0 {
 		t.Fatalf("table set: exit %d: %s", code, out)
--- a/internal/entry/e2e/harness_test.go
+++ b/internal/entry/e2e/harness_test.go
@@ -4,8 +4,14 @@
 import (
 	"bytes"
 	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
 	"encoding/json"
+	"encoding/pem"
 	"fmt"
+	"math/big"
 	"net"
 	"net/http"
 	"os"
@@ -412,3 +418,34 @@
 	}
 	return out
 }
+
+// writeCert writes a certificate for 127.0.0.1 that signs itself, and its key.
+func writeCert(t *testing.T) (certFile, keyFile string) {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour), IsCA: true, BasicConstraintsValid: true,
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	certFile, keyFile = filepath.Join(dir, "cert.pem"), filepath.Join(dir, "key.pem")
+	for file, block := range map[string]*pem.Block{
+		certFile: {Type: "CERTIFICATE", Bytes: der}, keyFile: {Type: "PRIVATE KEY", Bytes: raw},
+	} {
+		if err := os.WriteFile(file, pem.EncodeToMemory(block), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return certFile, keyFile
+}
--- a/internal/entry/server/listen.go
+++ b/internal/entry/server/listen.go
@@ -4,8 +4,10 @@
 	"context"
 	"crypto/subtle"
 	"crypto/tls"
+	"crypto/x509"
 	"net"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -83,6 +85,22 @@
 	})
 }
 
+// peerTLS returns the TLS settings for requests to other routers, nil if caFile is empty.
+func peerTLS(caFile string) (*tls.Config, error) {
+	if caFile == "" {
+		return nil, nil
+	}
+	data, err := os.ReadFile(caFile)
+	if err != nil {
+		return nil, errors.WithMessage(err, "read PeersCA")
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(data) {
+		return nil, errors.Errorf("%s holds no certificate", caFile)
+	}
+	return &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: roots}, nil
+}
+
 // peerClient adds the shared key to requests to other routers.
 type peerClient struct {
 	key    string
--- a/internal/entry/server/parts.go
+++ b/internal/entry/server/parts.go
@@ -79,7 +79,10 @@
 	p := &parts{
 		settings: s, version: version, log: log, incarnation: qm.Incarnation(uuid.NewString()), stop: stop, board: board.New(),
 	}
-	p.addClients()
+	if err := p.addClients(); err != nil {
+		p.close()
+		return nil, err
+	}
 	if err := p.addPlacement(); err != nil {
 		p.close()
 		return nil, err
@@ -122,7 +125,7 @@
 	}
 }
 
-func (p *parts) addClients() {
+func (p *parts) addClients() error {
 	opts := pool.Options{MaxAge: p.settings.MaxConnAge}
 	p.meter = meter.New(qm.InstanceID(p.settings.Instance), p.settings.MeteredTeams)
 	p.closeQuietly("meter", p.meter.Close)
@@ -134,9 +137,15 @@
 	p.closeQuietly("engine client", p.engines.Close)
 	p.services = plain.New(opts)
 	p.closeQuietly("service client", p.services.Close)
+	peers, err := peerTLS(p.settings.PeersCA)
+	if err != nil {
+		return err
+	}
+	opts.TLS = peers
 	connections := pool.New(opts)
 	p.peerHTTP = &http.Client{Transport: connections}
 	p.onClose(connections.Close)
+	return nil
 }
 
 func (p *parts) addPlacement() error {
@@ -159,11 +168,20 @@
 	p.adviser = advice.New(p.board, advice.Options{Validity: p.settings.AdviceValidity})
 	p.peer = peer.New(ctx, peer.Options{
 		Board: p.board, Roster: p.roster, Self: p.self(), Client: &peerClient{key: p.settings.PeerKey, client: p.peerHTTP},
-		Table: p.tableSnapshot, Grant: p.grant, Round: p.settings.PeerRound,
+		Scheme: p.peerScheme(),
+		Table:  p.tableSnapshot, Grant: p.grant, Round: p.settings.PeerRound,
 	})
 	p.onClose(p.peer.Close)
 }
 
+// peerScheme returns the scheme of requests to other routers.
+func (p *parts) peerScheme() string {
+	if p.settings.PeersCA != "" {
+		return "https"
+	}
+	return "http"
+}
+
 func (p *parts) addConfig(ctx context.Context) {
 	p.config = config.New(ctx, config.Options{
 		Log: p.logs, Board: p.board, Fetch: p.fetchTable, Owner: func() bool { return p.owns("config") },
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -48,7 +48,7 @@
 	}{
 		{"callers", s.settings.CallersAddress, s.settings.CallersCert, s.settings.CallersKey, s.settings.MaxConns, s.parts.callers},
 		{"operators", s.settings.OperatorsAddress, s.settings.OperatorsCert, s.settings.OperatorsKey, 0, s.parts.operators},
-		{"peers", s.settings.PeersAddress, "", "", 0, s.parts.peers},
+		{"peers", s.settings.PeersAddress, s.settings.PeersCert, s.settings.PeersKey, 0, s.parts.peers},
 	} {
 		h, err := l.handler()
 		if err != nil {
--- a/internal/infra/conf/conf.go
+++ b/internal/infra/conf/conf.go
@@ -23,6 +23,7 @@
 	CallersAddress, OperatorsAddress, PeersAddress string
 
 	CallersCert, CallersKey, OperatorsCert, OperatorsKey string
+	PeersCert, PeersKey, PeersCA                         string
 
 	OperatorKeyHash, PeerKey string
 
@@ -79,6 +80,11 @@
 			func(s *Settings) *string { return &s.OperatorsCert })),
 		optional(text("TLS", "OperatorsKey", "", "Key file of OperatorsCert.",
 			func(s *Settings) *string { return &s.OperatorsKey })),
+		optional(text("TLS", "PeersCert", "", "Certificate file for the other routers, with this instance's IP address. Empty turns TLS off.",
+			func(s *Settings) *string { return &s.PeersCert })),
+		optional(text("TLS", "PeersKey", "", "Key file of PeersCert.", func(s *Settings) *string { return &s.PeersKey })),
+		optional(text("TLS", "PeersCA", "", "Certificates that signed the PeersCert of the other routers.",
+			func(s *Settings) *string { return &s.PeersCA })),
 		hash("Operators", "KeyHash", "SHA-256 of the operators' key in hex, as printed by `quetzalmount table hash-key`.",
 			func(s *Settings) *string { return &s.OperatorKeyHash }),
 		text("Peers", "Key", "", "Shared key that routers prove to each other, at least 16 characters.",
@@ -274,6 +280,9 @@
 	if (s.OperatorsCert == "") != (s.OperatorsKey == "") {
 		add("TLS", "OperatorsKey", "OperatorsCert and OperatorsKey go together")
 	}
+	if (s.PeersCert == "") != (s.PeersKey == "") || (s.PeersCert == "") != (s.PeersCA == "") {
+		add("TLS", "PeersCert", "PeersCert, PeersKey and PeersCA go together")
+	}
 	if s.PeerKey != "" && len(s.PeerKey) < 16 {
 		add("Peers", "Key", "is shorter than 16 characters")
 	}
--- a/internal/infra/conf/conf_test.go
+++ b/internal/infra/conf/conf_test.go
@@ -51,6 +51,8 @@
 		{"twice", "EntrySlots = 6", "EntrySlots = 6\nEntrySlots = 7", []string{"[Limits] EntrySlots: is set more than once"}},
 		{"missing", "Name = entry-1", "", []string{"x.ini: [Instance] Name: is missing"}},
 		{"short key", "Key = change-me-before-use", "Key = short", []string{"[Peers] Key: is shorter"}},
+		{"half a pair", "# CallersCert =", "CallersCert = a.pem", []string{"[TLS] CallersKey: CallersCert and CallersKey go together"}},
+		{"peers without CA", "# PeersCert =", "PeersCert = a.pem", []string{"[TLS] PeersCert: PeersCert, PeersKey and PeersCA"}},
 		{"two faults", "EntrySlots = 6\n", "EntrySlots = 0\nBurst = 1\n",
 			[]string{"[Limits] EntrySlots", "[Limits] Burst: unknown key"}},
 	}
