Give the places at the engines a package of their own

Cause: the capacity of the fair queues, a decision of the policy, stood among the assembly code and had no test. Ruled out: putting it into the queue's package, which knows neither engines nor routers. Conclusion: behaviour unchanged.

--- a/internal/entry/opsapi/opsapi.go
+++ b/internal/entry/opsapi/opsapi.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	qm "quetzalmount.dev/quetzalmount"
+	"quetzalmount.dev/quetzalmount/internal/limit/slot"
 	"quetzalmount.dev/quetzalmount/internal/state/board"
 	"quetzalmount.dev/quetzalmount/internal/wire/admin"
 )
@@ -27,12 +28,6 @@
 	Cells      map[string]string
 }
 
-// TeamLoad is the work of one team on this instance.
-type TeamLoad struct {
-	Team             qm.TeamID
-	InFlight, Queued int
-}
-
 // Progress is how far an engine is on the way to what the table says.
 type Progress struct {
 	Desired qm.VersionID
@@ -50,7 +45,7 @@
 	// Rows returns the rows of the table in force, ordered by kind and name.
 	Rows func() []Row
 	// Teams returns the teams that have work on this instance.
-	Teams func() []TeamLoad
+	Teams func() []slot.Load
 	// Progress returns how far each engine is on the way to what the table says.
 	Progress func() map[qm.EndpointID]Progress
 	Metrics  http.Handler
--- a/internal/entry/opsapi/opsapi_test.go
+++ b/internal/entry/opsapi/opsapi_test.go
@@ -12,6 +12,7 @@
 
 	qm "quetzalmount.dev/quetzalmount"
 	"quetzalmount.dev/quetzalmount/internal/entry/opsapi"
+	"quetzalmount.dev/quetzalmount/internal/limit/slot"
 	"quetzalmount.dev/quetzalmount/internal/state/board"
 	"quetzalmount.dev/quetzalmount/internal/wire/admin"
 )
@@ -26,7 +27,7 @@
 		Rows: func() []opsapi.Row {
 			return []opsapi.Row{{Kind: "team", Name: "a", Version: 3, Cells: map[string]string{"Weight": "2"}}}
 		},
-		Teams: func() []opsapi.TeamLoad { return []opsapi.TeamLoad{{Team: "a", InFlight: 1, Queued: 2}} },
+		Teams: func() []slot.Load { return []slot.Load{{Team: "a", InFlight: 1, Queued: 2}} },
 		Progress: func() map[qm.EndpointID]opsapi.Progress {
 			return map[qm.EndpointID]opsapi.Progress{"scribe-1": {Desired: "v2", Step: "Loading"}}
 		},
--- a/internal/entry/server/handlers.go
+++ b/internal/entry/server/handlers.go
@@ -27,7 +27,7 @@
 	return opsapi.New(opsapi.Deps{
 		Board: p.board, Instance: qm.InstanceID(p.settings.Instance), Version: p.version, KeyHash: p.settings.OperatorKeyHash,
 		Rows: p.rows, Metrics: p.meter.Handler(),
-		Teams:    p.slots.teams,
+		Teams:    p.slots.Teams,
 		Progress: p.progress,
 	})
 }
--- a/internal/entry/server/parts.go
+++ b/internal/entry/server/parts.go
@@ -19,6 +19,7 @@
 	"quetzalmount.dev/quetzalmount/internal/infra/meter"
 	"quetzalmount.dev/quetzalmount/internal/limit/gate"
 	"quetzalmount.dev/quetzalmount/internal/limit/share"
+	"quetzalmount.dev/quetzalmount/internal/limit/slot"
 	"quetzalmount.dev/quetzalmount/internal/member/advice"
 	"quetzalmount.dev/quetzalmount/internal/member/peer"
 	"quetzalmount.dev/quetzalmount/internal/member/roster"
@@ -62,7 +63,7 @@
 	gate    *gate.Gate
 	health  *health
 	budget  *budget
-	slots   *slots
+	slots   *slot.Pool
 	placer  qm.Placer
 	// observer is the placer's view of cache events, nil for policies that use none.
 	observer qm.CacheObserver
@@ -197,8 +198,10 @@
 	})
 	p.onClose(p.limiter.Close)
 	p.gate = gate.New(p.limiter)
-	p.slots = newSlots(ctx, p.board, p.settings)
-	p.onClose(p.slots.close)
+	p.slots = slot.New(ctx, slot.Options{
+		Board: p.board, LoadPercent: p.settings.EngineLoad, QueueLength: p.settings.QueueLength,
+	})
+	p.onClose(p.slots.Close)
 	p.health = &health{breakers: retry.NewBreakers(), roster: p.roster}
 	p.budget = newBudget()
 }
@@ -214,7 +217,7 @@
 	p.streams = stream.New(p.engines, stream.Options{FirstToken: p.settings.FirstToken, Progress: p.settings.Progress})
 	p.closeQuietly("streams", p.streams.Close)
 	p.relay = relay.New(relay.Deps{
-		Board: p.board, Admit: p.gate.Admit, Slots: p.slots.acquire, Budget: p.budget, Placer: p.placer, Streamer: p.streams, Health: p.health,
+		Board: p.board, Admit: p.gate.Admit, Slots: p.slots.Acquire, Budget: p.budget, Placer: p.placer, Streamer: p.streams, Health: p.health,
 		Meter: p.meter,
 	})
 	p.invoker = invoke.New(invoke.Deps{Board: p.board, Client: p.services, Health: p.health, Retry: p.budget.Retry})
