Show conditions and gauges to operators, and use the retry decision for plain services

Cause: an instance list that is down had no log line although the operators' page named one; the invocation decided retries by itself and sent them without a pause; pollsPerRound was a constant that the capacity page called a setting. A monitor writes a line when a condition begins or ends and sets gauges; quetzalmount metrics prints them. Ruled out: a log line for every failed read of the list, one a second. Figures: with the list down for 4 s all requests of a load are served (TestListDown). Conclusion: unused code of the roster is gone.

--- a/internal/cli/verbs/status.go
+++ b/internal/cli/verbs/status.go
@@ -87,6 +87,42 @@
 	}
 }
 
+func metricsCommand(stdout io.Writer) *cli.Command {
+	return &cli.Command{
+		Name: "metrics", Usage: "print the metrics of the named instances in the Prometheus text format",
+		UsageText: "quetzalmount metrics --instances 10.0.0.1:8081",
+		Flags:     adminFlags(),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			for _, address := range c.StringSlice("instances") {
+				if err := printMetrics(ctx, c, address, stdout); err != nil {
+					return errors.WithMessagef(err, "metrics of %s", address)
+				}
+			}
+			return nil
+		},
+	}
+}
+
+func printMetrics(ctx context.Context, c *cli.Command, address string, stdout io.Writer) error {
+	ctx, cancel := context.WithTimeout(ctx, queryTime)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, baseURL(c, address)+"/metrics", nil)
+	if err != nil {
+		return usage("--instances %q: %v", address, err)
+	}
+	req.Header.Set("Authorization", "Bearer "+c.String("operator-key"))
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = res.Body.Close() }()
+	if res.StatusCode != http.StatusOK {
+		return errors.New(res.Status)
+	}
+	_, err = io.Copy(stdout, res.Body)
+	return err
+}
+
 func writeViews(out io.Writer, views []instanceView) {
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
 	defer func() { _ = w.Flush() }()
--- a/internal/cli/verbs/verbs.go
+++ b/internal/cli/verbs/verbs.go
@@ -87,7 +87,7 @@
 			return &exitError{code: ExitUsage, err: err}
 		},
 		Commands: []*cli.Command{
-			serveCommand(stdout), checkCommand(stdout), sheet.New(sheet.Options{OpenLog: openLog}), statusCommand(stdout), entriesCommand(stdout),
+			serveCommand(stdout), checkCommand(stdout), sheet.New(sheet.Options{OpenLog: openLog}), statusCommand(stdout), metricsCommand(stdout), entriesCommand(stdout),
 			callCommand(stdout), settingsCommand(stdout), versionCommand(stdout),
 		},
 	}
--- a/internal/entry/e2e/e2e_test.go
+++ b/internal/entry/e2e/e2e_test.go
@@ -14,6 +14,7 @@
 
 	"quetzalmount.dev/quetzalmount/internal/standin/engsrv"
 	"quetzalmount.dev/quetzalmount/internal/standin/logsrv"
+	"quetzalmount.dev/quetzalmount/internal/standin/lstsrv"
 )
 
 func operatorKeyHash() string {
@@ -42,10 +43,10 @@
 }
 
 // TestEditInForce guards against an edit that is accepted and does not reach every instance, also while the log answers
-// slowly, and against a restarted instance that goes back to an older table. The routers speak TLS to each other.
+// slowly and one router cannot reach it at all, and against a restarted instance that goes back to an older table. The routers speak TLS to each other.
 func TestEditInForce(t *testing.T) {
 	cert, key := writeCert(t)
-	d := deploy(t, options{routers: 6, engines: 1, services: 1, settings: [][3]string{
+	d := deploy(t, options{routers: 6, engines: 1, services: 1, cut: 1, settings: [][3]string{
 		{"TLS", "PeersCert", cert}, {"TLS", "PeersKey", key}, {"TLS", "PeersCA", cert},
 	}})
 	d.logFaults(logsrv.Faults{DelayMs: 300})
@@ -201,6 +202,25 @@
 	d.during(d.load(7, 2*time.Second, 10, 5), func() {})
 }
 
+// TestListDown guards against routers that lose their engines with the list, and against an outage that operators cannot see.
+func TestListDown(t *testing.T) {
+	d := deploy(t, options{routers: 2, engines: 2, services: 1})
+	d.during(d.load(10, 4*time.Second, 10, 5), func() {
+		d.fault(d.list, lstsrv.Faults{Down: true})
+		d.eventually("a log line about the list", func() bool {
+			return len(d.routers[0].lines(t, d, `"Message":"instance list cannot be read"`)) > 0
+		})
+	})
+	d.fault(d.list, lstsrv.Faults{})
+	d.eventually("a log line about its end", func() bool {
+		return len(d.routers[0].lines(t, d, `"Message":"over: instance list cannot be read"`)) > 0
+	})
+	out, code := d.command("metrics", "--instances", d.routers[0].admin)
+	if code != 0 || !strings.Contains(out, "quetzalmount_instances_live") {
+		t.Errorf("metrics: exit %d: %s", code, out)
+	}
+}
+
 // TestHammer guards against a team that gets more than its limit by sending to all instances at once.
 func TestHammer(t *testing.T) {
 	d := deploy(t, options{routers: 6, engines: 4, services: 1, engineArgs: []string{"--decode", "100us", "--slots", "64"}})
--- a/internal/entry/e2e/harness_test.go
+++ b/internal/entry/e2e/harness_test.go
@@ -101,9 +101,10 @@
 // router is one router with its addresses.
 type router struct {
 	*process
-	name                   string
-	callers, admin, peers  string
-	centre, settings, logs string
+	name                  string
+	callers, admin, peers string
+	centre, settings      string
+	cut                   bool // it cannot reach the log
 }
 
 // deployment is a set of routers and stand-ins.
@@ -167,6 +168,8 @@
 type options struct {
 	routers, engines, services int
 	engineArgs, logArgs        []string
+	// cut is the number of routers, the last ones, that cannot reach the log.
+	cut int
 	// settings are added to the settings of every router: section, key, value.
 	settings [][3]string
 }
@@ -198,7 +201,7 @@
 	}
 	for i := range o.routers {
 		r := &router{name: fmt.Sprintf("entry-%d", i), callers: freeAddress(t), admin: freeAddress(t), peers: freeAddress(t),
-			centre: centres[i%4]}
+			centre: centres[i%4], cut: i >= o.routers-o.cut}
 		r.settings = d.writeSettings(r, o.settings)
 		d.routers = append(d.routers, r)
 		list = append(list, lstsrv.Instance{ID: r.name, Kind: "Router", Address: r.callers, PeerAddress: r.peers,
@@ -230,10 +233,14 @@
 // writeSettings writes the settings file of a router.
 func (d *deployment) writeSettings(r *router, extra [][3]string) string {
 	d.t.Helper()
+	log := d.log
+	if r.cut {
+		log = "127.0.0.1:9" // nothing listens on the discard port
+	}
 	values := [][3]string{
 		{"Instance", "Name", r.name}, {"Instance", "DataCentre", r.centre}, {"Instance", "Region", "eu-dub"},
 		{"Listen", "Callers", r.callers}, {"Listen", "Operators", r.admin}, {"Listen", "Peers", r.peers},
-		{"Operators", "KeyHash", operatorKeyHash()}, {"Peers", "Key", "0123456789abcdef"}, {"Log", "Address", d.log},
+		{"Operators", "KeyHash", operatorKeyHash()}, {"Peers", "Key", "0123456789abcdef"}, {"Log", "Address", log},
 		{"List", "Address", d.list}, {"Advice", "Validity", "1s"},
 	}
 	var b bytes.Buffer
--- a/internal/entry/e2e/measure_test.go
+++ b/internal/entry/e2e/measure_test.go
@@ -36,7 +36,13 @@
 // TestMeasureInForce measures the time from the acceptance of an edit until all six routers have it.
 func TestMeasureInForce(t *testing.T) {
 	needMeasure(t)
-	d := deploy(t, options{routers: 6, engines: 1, services: 1})
+	for _, cut := range []int{0, 1} {
+		measureInForce(t, cut)
+	}
+}
+
+func measureInForce(t *testing.T, cut int) {
+	d := deploy(t, options{routers: 6, engines: 1, services: 1, cut: cut})
 	for _, c := range []struct {
 		name   string
 		faults logsrv.Faults
@@ -67,7 +73,7 @@
 			})
 			times = append(times, time.Since(accepted))
 		}
-		t.Logf("%s: %s, from the answer to the editor until 6 of 6 routers have it, polled every 20 ms", c.name, spread(times))
+		t.Logf("%d routers cut from the log, %s: %s, from the answer to the editor until 6 of 6 routers have it, polled every 20 ms", cut, c.name, spread(times))
 	}
 }
 
--- a/internal/entry/server/adapt.go
+++ b/internal/entry/server/adapt.go
@@ -15,10 +15,6 @@
 	"quetzalmount.dev/quetzalmount/internal/wire/peerpb"
 )
 
-// pollsPerRound is the number of load reports that a router fetches in one round. The deployments of today have 12 and 9
-// engines; docs/CAPACITY.md has the setting for the target size.
-const pollsPerRound = 16
-
 // maxFetches bounds the routers that are asked for their table at the same time. It covers all routers of today; at the target
 // size the exchange names a router that is ahead.
 const maxFetches = 16
--- a/internal/entry/server/parts.go
+++ b/internal/entry/server/parts.go
@@ -96,6 +96,7 @@
 		p.close()
 		return nil, err
 	}
+	p.onClose(newMonitor(ctx, p).close)
 	return p, nil
 }
 
@@ -163,7 +164,7 @@
 func (p *parts) addMembers(ctx context.Context) {
 	p.roster = roster.New(ctx, roster.Options{
 		Board: p.board, Self: p.self(), List: p.readList, Load: p.readLoad, Probe: probe, Changed: p.incarnationChanged,
-		ListEvery: p.settings.ListEvery, PollEvery: p.settings.LoadEvery, PollsPerRound: pollsPerRound,
+		ListEvery: p.settings.ListEvery, PollEvery: p.settings.LoadEvery, PollsPerRound: p.settings.PollsPerRound,
 	})
 	p.onClose(p.roster.Close)
 	p.adviser = advice.New(p.board, advice.Options{Validity: p.settings.AdviceValidity})
--- a/internal/infra/conf/conf.go
+++ b/internal/infra/conf/conf.go
@@ -47,7 +47,7 @@
 	AdviceValidity, StopLimit, MaxConnAge        time.Duration
 	LoadEvery, EventsEvery                       time.Duration
 	Policy, LogLevel                             string
-	MeteredTeams                                 int
+	MeteredTeams, PollsPerRound                  int
 	DefaultOutputTokens, QueueLength, EngineLoad int
 }
 
@@ -173,6 +173,9 @@
 			func(s *Settings) *time.Duration { return &s.LoadEvery }),
 		duration("Engines", "EventsEvery", "500ms", 10*time.Millisecond, time.Minute,
 			"Time between two reads of an engine's cache events.", func(s *Settings) *time.Duration { return &s.EventsEvery }),
+		numeric("Engines", "PollsPerRound", "16", 1, 100000,
+			"Most load reports fetched in one round; engines in use come first. A report takes about 700 bytes with its headers.",
+			func(s *Settings) *int { return &s.PollsPerRound }),
 		choice("Placement", "Policy", "expected", []string{"expected", "random", "least", "hash"},
 			"Placement policy; all but expected are for comparison.", func(s *Settings) *string { return &s.Policy }),
 		choice("Logs", "Level", "info", []string{"debug", "info", "error"}, "Least severe log lines that are written.",
--- a/internal/member/roster/member.go
+++ b/internal/member/roster/member.go
@@ -120,18 +120,6 @@
 	return true
 }
 
-// SelfApplied sets the configuration offset in the own entry.
-func (r *Roster) SelfApplied(offset qm.Offset) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	m := r.members[r.opts.Self.Instance]
-	if m.view.TableOffset != offset {
-		m.view.TableOffset = offset
-		r.newMembers = true
-		r.publish()
-	}
-}
-
 // memberViews returns the members ordered by id. The caller holds r.mu.
 func (r *Roster) memberViews() qm.Members {
 	out := make(qm.Members, 0, len(r.members))
--- a/internal/route/invoke/invoke.go
+++ b/internal/route/invoke/invoke.go
@@ -10,9 +10,8 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/pkg/errors"
-
 	qm "quetzalmount.dev/quetzalmount"
+	"quetzalmount.dev/quetzalmount/internal/route/retry"
 	"quetzalmount.dev/quetzalmount/internal/state/board"
 )
 
@@ -36,23 +35,23 @@
 
 // Dispatch implements quetzalmount.Dispatch: it sends the call to one process. Only if no byte was sent does it try another.
 func (i *Invoker) Dispatch(ctx context.Context, op qm.OperationID, c *qm.Call) (int, json.RawMessage, error) {
-	return i.send(ctx, op, c, false)
+	return i.send(ctx, op, c, retry.Once)
 }
 
 // Repeat sends a call that may be repeated, also again after it may have run.
 func (i *Invoker) Repeat(ctx context.Context, c *qm.Call) (qm.Result, error) {
 	op := qm.OperationID(c.Request)
-	status, answer, err := i.send(ctx, op, c, true)
+	status, answer, err := i.send(ctx, op, c, retry.Repeatable)
 	if err != nil {
 		return qm.Result{}, err
 	}
 	return qm.Result{Operation: op, Outcome: qm.Done, Status: status, Answer: answer}, nil
 }
 
-func (i *Invoker) send(ctx context.Context, op qm.OperationID, c *qm.Call, repeat bool) (int, json.RawMessage, error) {
+func (i *Invoker) send(ctx context.Context, op qm.OperationID, c *qm.Call, repeat retry.Repeat) (int, json.RawMessage, error) {
 	var last error
 	for try, e := range i.candidates(c.Service.ID) {
-		if try == MaxTries || (try > 0 && !i.deps.Retry(c.Team)) {
+		if try == MaxTries || (try > 0 && !i.again(ctx, c.Team, try-1, last)) {
 			break
 		}
 		attempt := i.deps.Health.Begin(e.ID)
@@ -63,7 +62,7 @@
 		}
 		attempt.Failed(err)
 		last = err
-		if ctx.Err() != nil || !(repeat || isNotRun(err)) {
+		if ctx.Err() != nil || !retry.May(err, repeat) {
 			break
 		}
 	}
@@ -74,9 +73,19 @@
 	return 0, nil, last
 }
 
-func isNotRun(err error) bool {
-	var e *qm.Error
-	return errors.As(err, &e) && e.Outcome == qm.NotRun
+// again takes a retry from the budget and waits before it. It reports false if there must be none.
+func (i *Invoker) again(ctx context.Context, team qm.TeamID, n int, err error) bool {
+	if !i.deps.Retry(team) {
+		return false
+	}
+	t := time.NewTimer(retry.Wait(n, err, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
 }
 
 // Status implements quetzalmount.Status: it asks all processes of the service, because each may have run the operation.
--- a/internal/route/place/policy.go
+++ b/internal/route/place/policy.go
@@ -47,7 +47,7 @@
 			New:     func() quetzalmount.Placer { return newLeast() },
 		},
 		{
-			Name: "hash", Knows: "the prefix that covers half of the prompt",
+			Name: "hash", Knows: "the prefix that covers 0.7 of the prompt",
 			Reasons: map[string]string{reasonHash: "first by rendezvous hash of the prefix"},
 			New:     func() quetzalmount.Placer { return hash{share: HashShare} },
 		},
