--- a/internal/cli/verbs/verbs.go
+++ b/internal/cli/verbs/verbs.go
@@ -73,7 +73,7 @@
 }
 
 func command(stdout, stderr io.Writer) *cli.Command {
-	return &cli.Command{
+	root := &cli.Command{
 		Name:                  "quetzalmount",
 		Usage:                 "router for language-model requests that share long prompt prefixes",
 		Version:               Version,
@@ -83,14 +83,21 @@
 		Suggest:               true,
 		// Errors are printed once, by Main.
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
-		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
-			return &exitError{code: ExitUsage, err: err}
-		},
+		OnUsageError:   usageError,
 		Commands: []*cli.Command{
 			serveCommand(stdout), checkCommand(stdout), sheet.New(sheet.Options{OpenLog: openLog}), statusCommand(stdout), metricsCommand(stdout), entriesCommand(stdout),
 			callCommand(stdout), settingsCommand(stdout), versionCommand(stdout),
 		},
 	}
+	for _, c := range root.Commands {
+		// Commands do not inherit the handler of their parent.
+		c.OnUsageError = usageError
+	}
+	return root
+}
+
+func usageError(_ context.Context, _ *cli.Command, err error, _ bool) error {
+	return &exitError{code: ExitUsage, err: err}
 }
 
 // openLog returns a client of the log service for the table subcommands.
