Write the records of answered calls before a stopping router ends

Cause: the context of all parts ended before the parts were closed, so that the claims could not write the records of calls that were answered just before a planned stop. The same call through another router had an unknown outcome. Ruled out: waiting for the record before each answer, which adds an append to every call. Conclusion: parts close in the reverse order of their start, then their context ends; records that could not be written are logged as an error.

--- a/internal/entry/e2e/e2e_test.go
+++ b/internal/entry/e2e/e2e_test.go
@@ -167,6 +167,45 @@
 	}
 }
 
+// exitRefused is the exit code of a request that was refused.
+const exitRefused = 6
+
+// TestStopKeepsRecords guards against a planned stop that loses the record of a call that was answered just before: the same
+// call through another router would have an unknown outcome.
+func TestStopKeepsRecords(t *testing.T) {
+	d := deploy(t, options{routers: 2, engines: 1, services: 1})
+	// call sends the call until the limits, whose buckets are empty at the start, let it through.
+	call := func(r *router) (out string, code int) {
+		d.eventually("the call is let through", func() bool {
+			out, code = d.command("call", "--entry", r.callers, "--key", teams[0].Key, "--service", "tally", "--name", "post-lodgement",
+				"--idempotency-key", "k", `{"Ref":"x","Amount":1}`)
+			return code != exitRefused
+		})
+		return out, code
+	}
+	// The append of the record waits out the delay and then finds the log down, until the router is past its advice.
+	d.logFaults(logsrv.Faults{DelayMs: 500})
+	if out, code := call(d.routers[0]); code != 0 {
+		t.Fatalf("call: exit %d: %s", code, out)
+	}
+	d.logFaults(logsrv.Faults{Down: true})
+	d.routers[0].signal(t, syscall.SIGTERM)
+	time.Sleep(2500 * time.Millisecond)
+	d.logFaults(logsrv.Faults{})
+	if code := d.routers[0].wait(t); code != 0 {
+		t.Errorf("exit %d after SIGTERM", code)
+	}
+	for _, p := range d.procs {
+		if strings.HasPrefix(p.name, "service-") {
+			p.signal(t, syscall.SIGKILL) // nobody is left to look the call up
+			p.wait(t)
+		}
+	}
+	if out, code := call(d.routers[1]); code != 0 || !strings.Contains(out, `"Repeated":true`) {
+		t.Errorf("the same call through another router: exit %d: %s", code, out)
+	}
+}
+
 // TestHerd guards against routers that cannot start without each other, and against a herd that serves from nothing while the
 // log is down.
 func TestHerd(t *testing.T) {
--- a/internal/entry/server/parts.go
+++ b/internal/entry/server/parts.go
@@ -102,11 +102,13 @@
 
 func (p *parts) onClose(f func()) { p.closers = append(p.closers, f) }
 
+// close ends the parts in the reverse order of their start. Their context ends last: the claims still write the records of calls
+// that were answered just before.
 func (p *parts) close() {
-	p.stop()
 	for i := len(p.closers) - 1; i >= 0; i-- {
 		p.closers[i]()
 	}
+	p.stop()
 }
 
 // closeQuietly closes a part whose error says nothing that an operator could act on while the process ends.
--- a/internal/entry/server/state.go
+++ b/internal/entry/server/state.go
@@ -22,7 +22,11 @@
 	if err != nil {
 		return err
 	}
-	p.closeQuietly("claims", p.claims.Close)
+	p.onClose(func() {
+		if err := p.claims.Close(); err != nil {
+			p.log.Error(err, "calls that were answered may be called Unknown when they are sent again")
+		}
+	})
 	p.orders = order.New(ctx, order.Options{
 		Log: p.logs, Board: p.board, Engines: commander{p.engines},
 		Holder: p.settings.Instance + "/" + string(p.incarnation),
