--- a/internal/bench/slope/placement.go
+++ b/internal/bench/slope/placement.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"quetzalmount.dev/quetzalmount"
+	qm "quetzalmount.dev/quetzalmount"
 	"quetzalmount.dev/quetzalmount/internal/route/place"
 	"quetzalmount.dev/quetzalmount/internal/route/prefix"
 	"quetzalmount.dev/quetzalmount/internal/route/sketch"
@@ -47,27 +47,27 @@
 }
 
 // view returns live engines.
-func view(n int) []*quetzalmount.Endpoint {
-	var all []*quetzalmount.Endpoint
+func view(n int) []*qm.Endpoint {
+	var all []*qm.Endpoint
 	for i := range n {
-		all = append(all, &quetzalmount.Endpoint{
-			ID: quetzalmount.EndpointID("engine" + strconv.Itoa(i)), Group: "g", State: quetzalmount.Live, Incarnation: "one",
-			Version: "v1", ReportedAt: start, Load: quetzalmount.Load{Slots: 48, UsedBlocks: 60},
+		all = append(all, &qm.Endpoint{
+			ID: qm.EndpointID("engine" + strconv.Itoa(i)), Group: "g", State: qm.Live, Incarnation: "one",
+			Version: "v1", ReportedAt: start, Load: qm.Load{Slots: 48, UsedBlocks: 60},
 		})
 	}
 	return all
 }
 
 // requests returns prompts of six steps.
-func requests() []*quetzalmount.PlaceRequest {
-	var all []*quetzalmount.PlaceRequest
+func requests() []*qm.PlaceRequest {
+	var all []*qm.PlaceRequest
 	for i := range uint64(512) {
-		scope := prefix.Scope{Team: quetzalmount.TeamID("team" + strconv.FormatUint(i%16, 10)), Model: "m", Version: "v1"}
-		r := &quetzalmount.PlaceRequest{Team: scope.Team, Model: "m", PromptTokens: 21000}
+		scope := prefix.Scope{Team: qm.TeamID("team" + strconv.FormatUint(i%16, 10)), Model: "m", Version: "v1"}
+		r := &qm.PlaceRequest{Team: scope.Team, Model: "m", PromptTokens: 21000}
 		key := scope.Root()
 		for j, id := range []uint64{1, 1, i, i, i, 1000 + i} {
 			key = prefix.Step(key, id)
-			r.Spans = append(r.Spans, quetzalmount.PrefixSpan{Key: key, End: min(21000, quetzalmount.Tokens(j+1)*4000)})
+			r.Spans = append(r.Spans, qm.PrefixSpan{Key: key, End: min(21000, qm.Tokens(j+1)*4000)})
 		}
 		all = append(all, r)
 	}
@@ -75,7 +75,7 @@
 }
 
 // warm returns a placer that has served all requests once.
-func warm(v []*quetzalmount.Endpoint, reqs []*quetzalmount.PlaceRequest, rnd *rand.Rand) *place.Expected {
+func warm(v []*qm.Endpoint, reqs []*qm.PlaceRequest, rnd *rand.Rand) *place.Expected {
 	p := place.New(place.Defaults())
 	for i, r := range reqs {
 		now := start.Add(time.Duration(i) * time.Millisecond)
@@ -99,11 +99,11 @@
 	opt.Prefixes = int(prefixes)
 	p, v := place.New(opt), view(12)
 	p.Place(requests()[0], v, start, rand.New(rand.NewPCG(1, 2)))
-	events := make([]quetzalmount.CacheEvent, eventBatch)
+	events := make([]qm.CacheEvent, eventBatch)
 	return Nanoseconds(func(i int) {
 		for j := range events {
 			n := i*eventBatch + j
-			events[j] = quetzalmount.CacheEvent{Seq: int64(n + 1), Stored: n%2 == 0, Block: quetzalmount.PrefixKey(n/2) * 7919}
+			events[j] = qm.CacheEvent{Seq: int64(n + 1), Stored: n%2 == 0, Block: qm.PrefixKey(n/2) * 7919}
 		}
 		p.Observe(v[i%len(v)].ID, "one", events, false, start)
 	}) / eventBatch
@@ -115,12 +115,12 @@
 }
 
 func keys(tokens float64) float64 {
-	text := strings.Repeat("x", int(tokens)*quetzalmount.BytesPerToken/4)
-	m := []quetzalmount.Message{
+	text := strings.Repeat("x", int(tokens)*qm.BytesPerToken/4)
+	m := []qm.Message{
 		{Role: "system", Content: text}, {Role: "system", Content: text}, {Role: "user", Content: text},
 		{Role: "user", Content: text},
 	}
 	scope := prefix.Scope{Team: "team", Model: "m", Version: "v1"}
-	var spans []quetzalmount.PrefixSpan
+	var spans []qm.PrefixSpan
 	return Nanoseconds(func(int) { spans = scope.Append(spans[:0], m) })
 }
--- a/internal/bench/trial/cache.go
+++ b/internal/bench/trial/cache.go
@@ -3,33 +3,33 @@
 import (
 	"container/list"
 
-	"quetzalmount.dev/quetzalmount"
+	qm "quetzalmount.dev/quetzalmount"
 )
 
 // block is one step of a prompt in a cache.
 type block struct {
-	key  quetzalmount.PrefixKey
-	size quetzalmount.Tokens
+	key  qm.PrefixKey
+	size qm.Tokens
 }
 
 // cache keeps the steps of prompts that were used last, up to a number of tokens.
 type cache struct {
-	limit, used quetzalmount.Tokens
+	limit, used qm.Tokens
 	order       *list.List
-	blocks      map[quetzalmount.PrefixKey]*list.Element
+	blocks      map[qm.PrefixKey]*list.Element
 	// changed is called for each step that enters or leaves.
-	changed func(key quetzalmount.PrefixKey, stored bool)
+	changed func(key qm.PrefixKey, stored bool)
 }
 
-func newCache(limit quetzalmount.Tokens, changed func(quetzalmount.PrefixKey, bool)) *cache {
+func newCache(limit qm.Tokens, changed func(qm.PrefixKey, bool)) *cache {
 	return &cache{
-		limit: limit, order: list.New(), blocks: map[quetzalmount.PrefixKey]*list.Element{}, changed: changed,
+		limit: limit, order: list.New(), blocks: map[qm.PrefixKey]*list.Element{}, changed: changed,
 	}
 }
 
 // held returns the tokens at the start of a prompt that are in the cache.
-func (c *cache) held(spans []quetzalmount.PrefixSpan) quetzalmount.Tokens {
-	hit := quetzalmount.Tokens(0)
+func (c *cache) held(spans []qm.PrefixSpan) qm.Tokens {
+	hit := qm.Tokens(0)
 	for _, s := range spans {
 		if _, ok := c.blocks[s.Key]; !ok {
 			break
@@ -41,7 +41,7 @@
 
 // use marks the held part of a prompt as used, the last step first: a step is useless without the ones before it, so it
 // leaves before them.
-func (c *cache) use(spans []quetzalmount.PrefixSpan) {
+func (c *cache) use(spans []qm.PrefixSpan) {
 	for i := len(spans) - 1; i >= 0; i-- {
 		if e, ok := c.blocks[spans[i].Key]; ok {
 			c.order.MoveToFront(e)
@@ -50,8 +50,8 @@
 }
 
 // store adds a whole prompt and evicts what was not used for longest.
-func (c *cache) store(spans []quetzalmount.PrefixSpan) {
-	start := quetzalmount.Tokens(0)
+func (c *cache) store(spans []qm.PrefixSpan) {
+	start := qm.Tokens(0)
 	for _, s := range spans {
 		if _, ok := c.blocks[s.Key]; !ok {
 			b := block{key: s.Key, size: s.End - start}
--- a/internal/bench/trial/cases.go
+++ b/internal/bench/trial/cases.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"quetzalmount.dev/quetzalmount"
+	qm "quetzalmount.dev/quetzalmount"
 	"quetzalmount.dev/quetzalmount/internal/route/place"
 )
 
@@ -76,7 +76,7 @@
 func Policies() []Policy {
 	var all []Policy
 	for _, p := range place.Policies() {
-		all = append(all, Policy{Name: p.Name, New: func(*world) quetzalmount.Placer { return p.New() }})
+		all = append(all, Policy{Name: p.Name, New: func(*world) qm.Placer { return p.New() }})
 	}
-	return append(all, Policy{Name: "oracle", Pool: true, New: func(w *world) quetzalmount.Placer { return &oracle{w} }})
+	return append(all, Policy{Name: "oracle", Pool: true, New: func(w *world) qm.Placer { return &oracle{w} }})
 }
--- a/internal/bench/trial/engine.go
+++ b/internal/bench/trial/engine.go
@@ -4,7 +4,7 @@
 	"strconv"
 	"time"
 
-	"quetzalmount.dev/quetzalmount"
+	qm "quetzalmount.dev/quetzalmount"
 )
 
 const (
@@ -26,11 +26,11 @@
 type job struct {
 	req    *request
 	router *router
-	place  quetzalmount.PlaceRequest
-	choice quetzalmount.Decision
+	place  qm.PlaceRequest
+	choice qm.Decision
 	// held is the most that any engine held when the job was placed.
-	held   quetzalmount.Tokens
-	cached quetzalmount.Tokens
+	held   qm.Tokens
+	cached qm.Tokens
 	// started tells that the caller has got the first token.
 	started bool
 	// again tells that the job continues an answer after a crash; its first token is not measured.
@@ -40,7 +40,7 @@
 // engine is a fake of a model engine.
 type engine struct {
 	w     *world
-	id    quetzalmount.EndpointID
+	id    qm.EndpointID
 	run   int
 	alive bool
 	// cost is the time to prefill one token alone.
@@ -51,10 +51,10 @@
 	decoding       map[*job]bool
 	busy           bool
 	// left is the tokens of the current prefill that remain.
-	left    quetzalmount.Tokens
+	left    qm.Tokens
 	evicted int64
 	// log holds the events since the last batch, kept those that a new reader can still get.
-	log, kept []quetzalmount.CacheEvent
+	log, kept []qm.CacheEvent
 	seq       int64
 }
 
@@ -62,7 +62,7 @@
 func (e *engine) boot() {
 	e.run++
 	e.alive = true
-	size := e.w.spec.Deployment.CacheBlocks * quetzalmount.BlockTokens
+	size := e.w.spec.Deployment.CacheBlocks * qm.BlockTokens
 	switch {
 	case !e.w.spec.Policy.Pool:
 		e.cache = newCache(size, e.record)
@@ -78,17 +78,17 @@
 }
 
 // record notes a cache event.
-func (e *engine) record(key quetzalmount.PrefixKey, stored bool) {
+func (e *engine) record(key qm.PrefixKey, stored bool) {
 	e.seq++
 	if !stored {
 		e.evicted++
 	}
-	e.log = append(e.log, quetzalmount.CacheEvent{Seq: e.seq, Stored: stored, Block: key})
+	e.log = append(e.log, qm.CacheEvent{Seq: e.seq, Stored: stored, Block: key})
 }
 
 // incarnation names the current run.
-func (e *engine) incarnation() quetzalmount.Incarnation {
-	return quetzalmount.Incarnation(string(e.id) + "." + strconv.Itoa(e.run))
+func (e *engine) incarnation() qm.Incarnation {
+	return qm.Incarnation(string(e.id) + "." + strconv.Itoa(e.run))
 }
 
 // take accepts a job or refuses it.
@@ -179,8 +179,8 @@
 }
 
 // load returns the engine's report.
-func (e *engine) load() quetzalmount.Load {
-	l := quetzalmount.Load{
+func (e *engine) load() qm.Load {
+	l := qm.Load{
 		Running: len(e.ready) + len(e.decoding), Waiting: len(e.waiting), Slots: slots,
 		CapacityBlocks: int64(e.w.spec.Deployment.CacheBlocks), UsedBlocks: int64(e.cache.order.Len()),
 		EvictedBlocks: e.evicted,
--- a/internal/bench/trial/router.go
+++ b/internal/bench/trial/router.go
@@ -4,13 +4,13 @@
 	"math/rand/v2"
 	"time"
 
-	"quetzalmount.dev/quetzalmount"
+	qm "quetzalmount.dev/quetzalmount"
 )
 
 // Policy is a way to place requests. New gets the run, which only the oracle uses.
 type Policy struct {
 	Name string
-	New  func(w *world) quetzalmount.Placer
+	New  func(w *world) qm.Placer
 	// Pool gives all engines of the run one common cache.
 	Pool bool
 	// Import is the time to import one token of KV cache from the store instead of prefilling it, 0 for no import. The store
@@ -21,18 +21,18 @@
 // router is the part of a router that places requests: the real decision code and its view of the engines.
 type router struct {
 	w      *world
-	placer quetzalmount.Placer
+	placer qm.Placer
 	rnd    *rand.Rand
-	view   []*quetzalmount.Endpoint
+	view   []*qm.Endpoint
 	// dead is the incarnation that refused a connection last, gap tells that events of the engine were lost.
-	dead map[quetzalmount.EndpointID]quetzalmount.Incarnation
-	gap  map[quetzalmount.EndpointID]bool
+	dead map[qm.EndpointID]qm.Incarnation
+	gap  map[qm.EndpointID]bool
 }
 
 func newRouter(w *world, i int) *router {
 	r := &router{
 		w: w, placer: w.spec.Policy.New(w), rnd: rand.New(rand.NewPCG(w.spec.Seed, uint64(10+i))),
-		dead: map[quetzalmount.EndpointID]quetzalmount.Incarnation{}, gap: map[quetzalmount.EndpointID]bool{},
+		dead: map[qm.EndpointID]qm.Incarnation{}, gap: map[qm.EndpointID]bool{},
 	}
 	for _, e := range w.engines {
 		r.meet(e)
@@ -42,14 +42,14 @@
 
 // meet adds an engine to the view, without a load report.
 func (r *router) meet(e *engine) {
-	r.view = append(r.view, &quetzalmount.Endpoint{
-		ID: e.id, Kind: quetzalmount.KindEngine, Group: "engines", State: quetzalmount.Live, Version: "v1",
+	r.view = append(r.view, &qm.Endpoint{
+		ID: e.id, Kind: qm.KindEngine, Group: "engines", State: qm.Live, Version: "v1",
 		Incarnation: e.incarnation(),
 	})
 }
 
 // update replaces the view of an engine.
-func (r *router) update(id quetzalmount.EndpointID, edit func(*quetzalmount.Endpoint)) {
+func (r *router) update(id qm.EndpointID, edit func(*qm.Endpoint)) {
 	for i, e := range r.view {
 		if e.ID == id {
 			c := *e
@@ -60,12 +60,12 @@
 }
 
 // report takes a load report unless it comes from an incarnation known to be dead.
-func (r *router) report(e *engine, inc quetzalmount.Incarnation, load quetzalmount.Load) {
+func (r *router) report(e *engine, inc qm.Incarnation, load qm.Load) {
 	if r.dead[e.id] == inc {
 		return
 	}
-	r.update(e.id, func(ep *quetzalmount.Endpoint) {
-		ep.State, ep.Incarnation, ep.Load, ep.ReportedAt = quetzalmount.Live, inc, load, r.w.clock.time()
+	r.update(e.id, func(ep *qm.Endpoint) {
+		ep.State, ep.Incarnation, ep.Load, ep.ReportedAt = qm.Live, inc, load, r.w.clock.time()
 	})
 }
 
@@ -73,8 +73,8 @@
 func (r *router) miss(e *engine) { r.gap[e.id] = true }
 
 // observe passes events on.
-func (r *router) observe(e *engine, inc quetzalmount.Incarnation, batch []quetzalmount.CacheEvent) {
-	if o, ok := r.placer.(quetzalmount.CacheObserver); ok {
+func (r *router) observe(e *engine, inc qm.Incarnation, batch []qm.CacheEvent) {
+	if o, ok := r.placer.(qm.CacheObserver); ok {
 		o.Observe(e.id, inc, batch, r.gap[e.id], r.w.clock.time())
 	}
 	r.gap[e.id] = false
@@ -113,18 +113,18 @@
 	r.placer.Finished(&j.place, j.choice, now)
 	id := j.choice.Endpoint.ID
 	r.dead[id] = j.choice.Incarnation
-	r.update(id, func(ep *quetzalmount.Endpoint) {
+	r.update(id, func(ep *qm.Endpoint) {
 		if ep.Incarnation == j.choice.Incarnation {
-			ep.State = quetzalmount.Suspect
+			ep.State = qm.Suspect
 		}
 	})
 	next := &job{req: j.req, router: r, place: j.place, started: j.started, again: j.started || j.again}
-	next.place.Exclude = append(append([]quetzalmount.EndpointID{}, j.place.Exclude...), id)
+	next.place.Exclude = append(append([]qm.EndpointID{}, j.place.Exclude...), id)
 	r.send(next)
 }
 
 // engine returns the engine with an id.
-func (w *world) engine(id quetzalmount.EndpointID) *engine {
+func (w *world) engine(id qm.EndpointID) *engine {
 	for _, e := range w.engines {
 		if e.id == id {
 			return e
@@ -141,10 +141,10 @@
 
 // Place implements quetzalmount.Placer.
 func (o *oracle) Place(
-	_ *quetzalmount.PlaceRequest, engines []*quetzalmount.Endpoint, _ time.Time, _ *rand.Rand,
-) (quetzalmount.Decision, bool) {
+	_ *qm.PlaceRequest, engines []*qm.Endpoint, _ time.Time, _ *rand.Rand,
+) (qm.Decision, bool) {
 	var best *engine
-	var at *quetzalmount.Endpoint
+	var at *qm.Endpoint
 	var low float64
 	for _, ep := range engines {
 		e := o.w.engine(ep.ID)
@@ -156,12 +156,12 @@
 		}
 	}
 	if best == nil {
-		return quetzalmount.Decision{}, false
+		return qm.Decision{}, false
 	}
-	return quetzalmount.Decision{Endpoint: at, Incarnation: best.incarnation(), Reason: "oracle"}, true
+	return qm.Decision{Endpoint: at, Incarnation: best.incarnation(), Reason: "oracle"}, true
 }
 
-func (*oracle) Dispatched(*quetzalmount.PlaceRequest, quetzalmount.Decision, time.Time) {}
-func (*oracle) FirstToken(*quetzalmount.PlaceRequest, quetzalmount.Decision, quetzalmount.Tokens, time.Time) {
+func (*oracle) Dispatched(*qm.PlaceRequest, qm.Decision, time.Time) {}
+func (*oracle) FirstToken(*qm.PlaceRequest, qm.Decision, qm.Tokens, time.Time) {
 }
-func (*oracle) Finished(*quetzalmount.PlaceRequest, quetzalmount.Decision, time.Time) {}
+func (*oracle) Finished(*qm.PlaceRequest, qm.Decision, time.Time) {}
--- a/internal/bench/trial/traffic.go
+++ b/internal/bench/trial/traffic.go
@@ -7,17 +7,17 @@
 	"strconv"
 	"time"
 
-	"quetzalmount.dev/quetzalmount"
+	qm "quetzalmount.dev/quetzalmount"
 	"quetzalmount.dev/quetzalmount/internal/route/prefix"
 )
 
 // Deployment is one customer's workload.
 type Deployment struct {
 	Name    string
-	Model   quetzalmount.ModelID
+	Model   qm.ModelID
 	Engines int
 	// CacheBlocks is the capacity of an engine's cache.
-	CacheBlocks quetzalmount.Tokens
+	CacheBlocks qm.Tokens
 	// Rate is the requests a second of all teams.
 	Rate float64
 	// Teams are the teams' shares of the requests, in percent.
@@ -26,7 +26,7 @@
 	// number of plans (seasons or schedules) of each context.
 	ContextsPerShare, Plans int
 	// RulesTokens, ContextTokens and PlanTokens are the lengths of the three shared levels.
-	RulesTokens, ContextTokens, PlanTokens quetzalmount.Tokens
+	RulesTokens, ContextTokens, PlanTokens qm.Tokens
 	// Hot are the shares of all requests that go to the hottest plans.
 	Hot []float64
 }
@@ -64,7 +64,7 @@
 type request struct {
 	at     time.Duration
 	team   int
-	prompt quetzalmount.PlaceRequest
+	prompt qm.PlaceRequest
 	output int
 	router int
 	number int
@@ -91,7 +91,7 @@
 	t := &traffic{dep: dep, rnd: rand.New(rand.NewPCG(seed, 1))}
 	for i := range dep.Teams {
 		t.scope = append(t.scope, prefix.Scope{
-			Team: quetzalmount.TeamID("team" + strconv.Itoa(i)), Model: dep.Model, Version: "v1",
+			Team: qm.TeamID("team" + strconv.Itoa(i)), Model: dep.Model, Version: "v1",
 		})
 	}
 	t.move()
@@ -183,31 +183,31 @@
 		p = plan{team, t.context(team), t.rnd.IntN(t.dep.Plans)}
 	}
 	t.number++
-	tail := quetzalmount.Tokens(leastTail + t.rnd.IntN(mostTail-leastTail))
+	tail := qm.Tokens(leastTail + t.rnd.IntN(mostTail-leastTail))
 	r := &request{team: p.team, router: t.rnd.IntN(Routers), output: 1 + int(t.rnd.ExpFloat64()*meanOutput)}
-	r.prompt = quetzalmount.PlaceRequest{Team: t.scope[p.team].Team, Model: t.dep.Model}
+	r.prompt = qm.PlaceRequest{Team: t.scope[p.team].Team, Model: t.dep.Model}
 	r.prompt.Spans = t.spans(p, tail)
 	r.prompt.PromptTokens = r.prompt.Spans[len(r.prompt.Spans)-1].End
 	return r
 }
 
 // spans builds the steps of a prompt the way package prefix cuts text: at blocks and at the end of each level.
-func (t *traffic) spans(p plan, tail quetzalmount.Tokens) []quetzalmount.PrefixSpan {
+func (t *traffic) spans(p plan, tail qm.Tokens) []qm.PrefixSpan {
 	levels := []struct {
 		id   uint64
-		size quetzalmount.Tokens
+		size qm.Tokens
 	}{
 		{1, t.dep.RulesTokens}, {2 + uint64(p.context), t.dep.ContextTokens}, {2 + uint64(p.plan), t.dep.PlanTokens},
 		{1<<32 + t.number, tail},
 	}
-	var out []quetzalmount.PrefixSpan
-	key, end := t.scope[p.team].Root(), quetzalmount.Tokens(0)
+	var out []qm.PrefixSpan
+	key, end := t.scope[p.team].Root(), qm.Tokens(0)
 	for _, l := range levels {
 		stop := end + l.size
 		for end < stop {
-			end = min(stop, (end/quetzalmount.BlockTokens+1)*quetzalmount.BlockTokens)
+			end = min(stop, (end/qm.BlockTokens+1)*qm.BlockTokens)
 			key = prefix.Step(key, l.id)
-			out = append(out, quetzalmount.PrefixSpan{Key: key, End: end})
+			out = append(out, qm.PrefixSpan{Key: key, End: end})
 		}
 	}
 	return out
--- a/internal/bench/trial/trial_test.go
+++ b/internal/bench/trial/trial_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"quetzalmount.dev/quetzalmount"
+	qm "quetzalmount.dev/quetzalmount"
 )
 
 // summary is the printed part of a result.
@@ -44,7 +44,7 @@
 	prompt := newTraffic(dep, 1).spans(plan{}, 1000)
 	send := func() *job {
 		r := &request{at: warmTime, output: 1}
-		j := &job{req: r, router: w.routers[0], place: quetzalmount.PlaceRequest{Spans: prompt, PromptTokens: 21000}}
+		j := &job{req: r, router: w.routers[0], place: qm.PlaceRequest{Spans: prompt, PromptTokens: 21000}}
 		j.choice.Endpoint = w.routers[0].view[0]
 		w.clock.after(0, func() { e.take(j) })
 		return j
@@ -74,7 +74,7 @@
 func TestCache(t *testing.T) {
 	traffic := newTraffic(Deployments()[0], 7)
 	var stored, evicted int
-	c := newCache(200000, func(_ quetzalmount.PrefixKey, in bool) {
+	c := newCache(200000, func(_ qm.PrefixKey, in bool) {
 		if in {
 			stored++
 		} else {
--- a/internal/bench/trial/variants.go
+++ b/internal/bench/trial/variants.go
@@ -4,7 +4,7 @@
 	"strconv"
 	"time"
 
-	"quetzalmount.dev/quetzalmount"
+	qm "quetzalmount.dev/quetzalmount"
 	"quetzalmount.dev/quetzalmount/internal/route/place"
 )
 
@@ -15,19 +15,19 @@
 	for _, share := range []float64{0, 0.4, 0.7, 0.99} {
 		all = append(all, Policy{
 			Name: "hash " + strconv.FormatFloat(share, 'f', 2, 64),
-			New:  func(*world) quetzalmount.Placer { return place.NewHash(share) },
+			New:  func(*world) qm.Placer { return place.NewHash(share) },
 		})
 	}
 	for _, share := range []float64{0.4, 0.7, 0.99} {
 		all = append(all, Policy{
 			Name: "pair " + strconv.FormatFloat(share, 'f', 2, 64),
-			New:  func(*world) quetzalmount.Placer { return place.NewPair(share) },
+			New:  func(*world) qm.Placer { return place.NewPair(share) },
 		})
 	}
 	ours := func(name string, edit func(*place.Options)) {
 		opt := place.Defaults()
 		edit(&opt)
-		all = append(all, Policy{Name: name, New: func(*world) quetzalmount.Placer { return place.New(opt) }})
+		all = append(all, Policy{Name: name, New: func(*world) qm.Placer { return place.New(opt) }})
 	}
 	ours("greedy", func(o *place.Options) { o.Again, o.Stray, o.Blind, o.LoadFloor = 0, 0, 0, 1000 })
 	for _, again := range []float64{0, 1, 4, 8} {
@@ -47,8 +47,8 @@
 	ours("kept 0", func(o *place.Options) { o.Kept = 0 })
 	ours("kept 0.5", func(o *place.Options) { o.Kept = 0.5 })
 	ours("event lag 2 s", func(o *place.Options) { o.EventLag = 2 * time.Second })
-	all = append(all, Policy{Name: "deaf", New: func(*world) quetzalmount.Placer {
-		return struct{ quetzalmount.Placer }{place.New(place.Defaults())}
+	all = append(all, Policy{Name: "deaf", New: func(*world) qm.Placer {
+		return struct{ qm.Placer }{place.New(place.Defaults())}
 	}})
 	ours("no lots", func(o *place.Options) { o.Near = 0 })
 	ours("lots 0.1", func(o *place.Options) { o.NearShare = 0.1 })
--- a/internal/bench/trial/world.go
+++ b/internal/bench/trial/world.go
@@ -5,7 +5,7 @@
 	"strconv"
 	"time"
 
-	"quetzalmount.dev/quetzalmount"
+	qm "quetzalmount.dev/quetzalmount"
 )
 
 const (
@@ -97,7 +97,7 @@
 // addEngine starts another engine, which reports its load and its events from now on.
 func (w *world) addEngine() {
 	n := len(w.engines)
-	e := &engine{w: w, id: quetzalmount.EndpointID("engine" + strconv.Itoa(n)), cost: tokenCost}
+	e := &engine{w: w, id: qm.EndpointID("engine" + strconv.Itoa(n)), cost: tokenCost}
 	if n%5 == 4 {
 		e.cost = time.Duration(float64(tokenCost) / (1 - slowShare))
 	}
@@ -160,7 +160,7 @@
 	}
 	lag, loss := w.spec.Case.events()
 	for _, e := range w.engines {
-		var batch []quetzalmount.CacheEvent
+		var batch []qm.CacheEvent
 		for i := 0; i < len(e.kept); i += lostTogether {
 			if w.net.Float64() < loss {
 				r.miss(e)
@@ -174,8 +174,8 @@
 }
 
 // held returns the most tokens of a prompt that any live engine has in its cache.
-func (w *world) held(spans []quetzalmount.PrefixSpan) quetzalmount.Tokens {
-	most := quetzalmount.Tokens(0)
+func (w *world) held(spans []qm.PrefixSpan) qm.Tokens {
+	most := qm.Tokens(0)
 	for _, e := range w.engines {
 		if e.alive {
 			most = max(most, e.cache.held(spans))
--- a/internal/entry/e2e/e2e_test.go
+++ b/internal/entry/e2e/e2e_test.go
@@ -128,8 +128,8 @@
 	})
 }
 
-// TestSilence guards against streams that hang on connections that went silent, and against short or doubled chunks.
-func TestSilence(t *testing.T) {
+// TestStalledConnections guards against streams that hang on connections that stalled, and against short or doubled chunks.
+func TestStalledConnections(t *testing.T) {
 	d := deploy(t, options{routers: 2, engines: 3, services: 1, settings: [][3]string{{"Timeouts", "Progress", "300ms"}}})
 	sum := d.during(d.load(5, 6*time.Second, 20, 0), func() {
 		for range 4 {
@@ -143,7 +143,7 @@
 		}
 	})
 	if sum.Refused > 0 {
-		t.Errorf("%d completions refused; open connections went silent but new ones worked", sum.Refused)
+		t.Errorf("%d completions refused; open connections stalled but new ones worked", sum.Refused)
 	}
 }
 
@@ -206,9 +206,9 @@
 	}
 }
 
-// TestHerd guards against routers that cannot start without each other, and against a herd that serves from nothing while the
-// log is down.
-func TestHerd(t *testing.T) {
+// TestSimultaneousRestart guards against routers that cannot start without each other, and against routers that serve without a
+// table while the log is down.
+func TestSimultaneousRestart(t *testing.T) {
 	d := deploy(t, options{routers: 6, engines: 2, services: 1})
 	d.logFaults(logsrv.Faults{Down: true})
 	for _, r := range d.routers {
@@ -260,8 +260,8 @@
 	}
 }
 
-// TestHammer guards against a team that gets more than its limit by sending to all instances at once.
-func TestHammer(t *testing.T) {
+// TestExcessiveLoad guards against a team that gets more than its limit by sending to all instances at once.
+func TestExcessiveLoad(t *testing.T) {
 	d := deploy(t, options{routers: 6, engines: 4, services: 1, engineArgs: []string{"--decode", "100us", "--slots", "64"}})
 	const limit, seconds = 300, 6 // tennis-dalkey may send 300 requests a minute
 	body := `{"model":"scribe","messages":[{"role":"user","content":"x"}],"max_tokens":1}`
--- a/internal/entry/e2e/measure_test.go
+++ b/internal/entry/e2e/measure_test.go
@@ -151,7 +151,7 @@
 		sum.Sent, sum.Served, sum.Refused, sum.Unknown)
 }
 
-// TestMeasureNeighbours measures what a team that hammers does to the others' time to first token.
+// TestMeasureNeighbours measures what a team that sends excessive load does to the others' time to first token.
 func TestMeasureNeighbours(t *testing.T) {
 	needMeasure(t)
 	d := deploy(t, options{routers: 6, engines: 4, services: 1})
@@ -161,7 +161,7 @@
 	quiet(20) // fills buckets and caches
 	before := quiet(21)
 	stop := make(chan struct{})
-	body := `{"model":"scribe","messages":[{"role":"user","content":"` + strings.Repeat("hammer ", 2000) + `"}],"max_tokens":20}`
+	body := `{"model":"scribe","messages":[{"role":"user","content":"` + strings.Repeat("excess ", 2000) + `"}],"max_tokens":20}`
 	for _, r := range d.routers {
 		for range 8 {
 			go func() {
@@ -178,12 +178,12 @@
 	}
 	during := quiet(21)
 	close(stop)
-	t.Logf("other teams' TTFT p99: %.0f ms quiet, %.0f ms while one team hammers all six routers with 48 callers, ratio %.2f",
+	t.Logf("other teams' TTFT p99: %.0f ms quiet, %.0f ms while one team loads all six routers with 48 callers, ratio %.2f",
 		before.TTFTP99, during.TTFTP99, during.TTFTP99/before.TTFTP99)
 }
 
-// TestMeasureSilence measures the time from the silence of a connection until its stream goes on.
-func TestMeasureSilence(t *testing.T) {
+// TestMeasureStall measures the time from the stall of a connection until its stream goes on.
+func TestMeasureStall(t *testing.T) {
 	needMeasure(t)
 	d := deploy(t, options{routers: 1, engines: 1, services: 1, engineArgs: []string{"--decode", "1ms"}})
 	body := `{"model":"scribe","messages":[{"role":"user","content":"x"}],"max_tokens":20}`
--- a/internal/limit/gate/gate.go
+++ b/internal/limit/gate/gate.go
@@ -3,7 +3,7 @@
 // The limiter never waits: an instance that has spent its share of a team's limit refuses until its loan arrives, although the
 // team as a whole is below its limit. Callers that never read the limits would see refusals that they cannot explain. A request
 // whose refusal names a time within the patience therefore waits for it. The number of requests of a team that wait is bounded,
-// so that a script that hammers is still refused early and holds little memory.
+// so that a script that sends excessive load is still refused early and holds little memory.
 package gate
 
 import (
--- a/internal/limit/gate/gate_test.go
+++ b/internal/limit/gate/gate_test.go
@@ -76,8 +76,8 @@
 	}
 }
 
-// TestHammering guards against a script that fills the instance with waiting requests.
-func TestHammering(t *testing.T) {
+// TestExcessiveLoad guards against a script that fills the instance with waiting requests.
+func TestExcessiveLoad(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := &limiter{open: time.Now().Add(time.Hour), after: 100 * time.Millisecond}
 		g := gate.New(l)
--- a/internal/member/roster/endpoint.go
+++ b/internal/member/roster/endpoint.go
@@ -125,7 +125,7 @@
 	r.update(id, inc, func(e *entry) { e.suspect, e.failures = false, 0 })
 }
 
-// Failed tells that a request to an endpoint failed or went silent on an open connection. A probe over a new connection
+// Failed tells that a request to an endpoint failed or stalled on an open connection. A probe over a new connection
 // decides whether the endpoint is suspect.
 func (r *Roster) Failed(id qm.EndpointID) {
 	r.update(id, "", func(e *entry) {
--- a/internal/route/place/bench_test.go
+++ b/internal/route/place/bench_test.go
@@ -7,13 +7,13 @@
 	"testing"
 	"time"
 
-	"quetzalmount.dev/quetzalmount"
+	qm "quetzalmount.dev/quetzalmount"
 )
 
 // warm returns a placer that has placed requests of many contexts on n engines, and requests to go on with.
-func warm(n int) (*Expected, []*quetzalmount.Endpoint, []*quetzalmount.PlaceRequest, *rand.Rand) {
+func warm(n int) (*Expected, []*qm.Endpoint, []*qm.PlaceRequest, *rand.Rand) {
 	p, v, rnd := New(Defaults()), view(n, nil), rand.New(rand.NewPCG(1, 2))
-	var reqs []*quetzalmount.PlaceRequest
+	var reqs []*qm.PlaceRequest
 	for i := range 512 {
 		r := ask("team"+strconv.Itoa(i%16), "v1", strconv.Itoa(i), uint64(i))
 		now := start.Add(time.Duration(i) * time.Millisecond)
@@ -59,14 +59,14 @@
 
 func BenchmarkObserve(b *testing.B) {
 	p, _, _, _ := warm(12)
-	events := make([]quetzalmount.CacheEvent, 64)
+	events := make([]qm.CacheEvent, 64)
 	i := 0
 	b.ReportAllocs()
 	for b.Loop() {
 		if i%len(events) == 0 {
 			for j := range events {
 				n := i + j
-				events[j] = quetzalmount.CacheEvent{Seq: int64(n), Stored: n%2 == 0, Block: quetzalmount.PrefixKey(n/2) * 7919}
+				events[j] = qm.CacheEvent{Seq: int64(n), Stored: n%2 == 0, Block: qm.PrefixKey(n/2) * 7919}
 			}
 			p.Observe("e3", "one", events, false, start)
 		}
--- a/internal/route/place/fleet.go
+++ b/internal/route/place/fleet.go
@@ -6,7 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"quetzalmount.dev/quetzalmount"
+	qm "quetzalmount.dev/quetzalmount"
 	"quetzalmount.dev/quetzalmount/internal/route/sketch"
 )
 
@@ -25,9 +25,9 @@
 
 // engine is what a router knows of one engine.
 type engine struct {
-	id      quetzalmount.EndpointID
-	inc     quetzalmount.Incarnation
-	version quetzalmount.VersionID
+	id      qm.EndpointID
+	inc     qm.Incarnation
+	version qm.VersionID
 	hash    uint64
 	// epoch changes with the incarnation and with the weights; table entries of another epoch are void.
 	epoch uint16
@@ -84,7 +84,7 @@
 }
 
 // report takes over a new load report.
-func (e *engine) report(ep *quetzalmount.Endpoint) {
+func (e *engine) report(ep *qm.Endpoint) {
 	l := &ep.Load
 	if dt := ep.ReportedAt.Sub(e.reported).Seconds(); !e.reported.IsZero() && dt > 0 && l.EvictedBlocks >= e.evicted {
 		w := 1 - math.Exp(-dt/rateMemory)
@@ -100,7 +100,7 @@
 }
 
 // renew starts a new epoch: what was known of the engine's cache and queue no longer holds.
-func (e *engine) renew(inc quetzalmount.Incarnation, version quetzalmount.VersionID) {
+func (e *engine) renew(inc qm.Incarnation, version qm.VersionID) {
 	e.inc, e.version = inc, version
 	if e.epoch++; e.epoch == 0 {
 		e.epoch = 1
@@ -124,27 +124,27 @@
 
 // flightID names a flight: a request may fail at one engine and be sent to the next.
 type flightID struct {
-	request  *quetzalmount.PlaceRequest
-	endpoint quetzalmount.EndpointID
+	request  *qm.PlaceRequest
+	endpoint qm.EndpointID
 }
 
 // fleet holds the engines that a router has met.
 type fleet struct {
 	engines []engine
-	byID    map[quetzalmount.EndpointID]sketch.Slot
+	byID    map[qm.EndpointID]sketch.Slot
 	flights map[flightID]flight
 	// list maps the positions of the current request's engines to slots. hints keeps it per group, so that an unchanged list
 	// costs one comparison per engine instead of a map look-up.
 	list  []sketch.Slot
-	hints map[quetzalmount.GroupID]*[]sketch.Slot
+	hints map[qm.GroupID]*[]sketch.Slot
 	zero  time.Time
 }
 
 func newFleet() *fleet {
 	return &fleet{
-		byID:    map[quetzalmount.EndpointID]sketch.Slot{},
+		byID:    map[qm.EndpointID]sketch.Slot{},
 		flights: map[flightID]flight{},
-		hints:   map[quetzalmount.GroupID]*[]sketch.Slot{},
+		hints:   map[qm.GroupID]*[]sketch.Slot{},
 	}
 }
 
@@ -160,7 +160,7 @@
 func (f *fleet) at(i int) *engine { return &f.engines[f.list[i]] }
 
 // sync takes over incarnations, weights and load reports from the view of the engines.
-func (f *fleet) sync(view []*quetzalmount.Endpoint, now time.Time) {
+func (f *fleet) sync(view []*qm.Endpoint, now time.Time) {
 	if len(view) == 0 {
 		return
 	}
@@ -195,7 +195,7 @@
 }
 
 // slot returns the slot of an engine, a new one if it was not met before.
-func (f *fleet) slot(id quetzalmount.EndpointID, now sketch.Tick) sketch.Slot {
+func (f *fleet) slot(id qm.EndpointID, now sketch.Tick) sketch.Slot {
 	if s, ok := f.byID[id]; ok {
 		return s
 	}
@@ -245,7 +245,7 @@
 }
 
 // current returns the engine of a decision if it is still the same incarnation.
-func (f *fleet) current(id quetzalmount.EndpointID, inc quetzalmount.Incarnation) (*engine, sketch.Slot, bool) {
+func (f *fleet) current(id qm.EndpointID, inc qm.Incarnation) (*engine, sketch.Slot, bool) {
 	s, ok := f.byID[id]
 	if !ok || f.engines[s].inc != inc {
 		return nil, 0, false
@@ -256,7 +256,7 @@
 // known is like current, but takes over an engine that was not met before. A restarted router reads the events that
 // engines retain before it places its first request.
 func (f *fleet) known(
-	id quetzalmount.EndpointID, inc quetzalmount.Incarnation, now time.Time,
+	id qm.EndpointID, inc qm.Incarnation, now time.Time,
 ) (*engine, sketch.Slot, bool) {
 	if _, ok := f.byID[id]; !ok {
 		f.engines[f.slot(id, f.tick(now))].inc = inc
@@ -265,7 +265,7 @@
 }
 
 // start records a dispatch.
-func (f *fleet) start(r *quetzalmount.PlaceRequest, d quetzalmount.Decision, now time.Time) {
+func (f *fleet) start(r *qm.PlaceRequest, d qm.Decision, now time.Time) {
 	e, s, ok := f.current(d.Endpoint.ID, d.Incarnation)
 	if !ok {
 		return
@@ -280,7 +280,7 @@
 
 // prefilled records a first token and returns the flight as it was before, with its engine, unless the engine has
 // restarted since.
-func (f *fleet) prefilled(r *quetzalmount.PlaceRequest, d quetzalmount.Decision) (flight, *engine) {
+func (f *fleet) prefilled(r *qm.PlaceRequest, d qm.Decision) (flight, *engine) {
 	id := flightID{r, d.Endpoint.ID}
 	fl, ok := f.flights[id]
 	if !ok || fl.prefilled || f.engines[fl.engine].epoch != fl.epoch {
@@ -295,7 +295,7 @@
 }
 
 // end records that a request left its engine. It returns the flight and its engine unless that has restarted since.
-func (f *fleet) end(r *quetzalmount.PlaceRequest, d quetzalmount.Decision) (flight, *engine) {
+func (f *fleet) end(r *qm.PlaceRequest, d qm.Decision) (flight, *engine) {
 	id := flightID{r, d.Endpoint.ID}
 	fl, ok := f.flights[id]
 	delete(f.flights, id)
--- a/internal/route/place/hash.go
+++ b/internal/route/place/hash.go
@@ -6,18 +6,18 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"quetzalmount.dev/quetzalmount"
+	qm "quetzalmount.dev/quetzalmount"
 )
 
 // HashShare is the part of a prompt that plain consistent hashing uses as its key. docs/PLACEMENT.md compares levels.
 const HashShare = 0.7
 
 // affinity returns the key of the longest prefix that covers at most share of the prompt, or that of the first step.
-func affinity(r *quetzalmount.PlaceRequest, share float64) quetzalmount.PrefixKey {
+func affinity(r *qm.PlaceRequest, share float64) qm.PrefixKey {
 	if len(r.Spans) == 0 {
 		return 0
 	}
-	most := quetzalmount.Tokens(share * float64(r.PromptTokens))
+	most := qm.Tokens(share * float64(r.PromptTokens))
 	key := r.Spans[0].Key
 	for _, s := range r.Spans {
 		if s.End > most {
@@ -30,7 +30,7 @@
 
 // weigh combines a key with the hash of an engine's id into the engine's weight for the key. The engine with the highest
 // weight is the key's home, so a change of the engines moves only the keys of the engines that changed.
-func weigh(key quetzalmount.PrefixKey, engine uint64) uint64 {
+func weigh(key qm.PrefixKey, engine uint64) uint64 {
 	x := uint64(key) ^ engine
 	x ^= x >> 32
 	x *= 0xd6e8feb86659fd93
@@ -47,14 +47,14 @@
 
 // Place implements quetzalmount.Placer.
 func (h hash) Place(
-	r *quetzalmount.PlaceRequest, engines []*quetzalmount.Endpoint, _ time.Time, _ *rand.Rand,
-) (quetzalmount.Decision, bool) {
+	r *qm.PlaceRequest, engines []*qm.Endpoint, _ time.Time, _ *rand.Rand,
+) (qm.Decision, bool) {
 	state, n := tier(engines, r.Exclude)
 	if n == 0 {
-		return quetzalmount.Decision{}, false
+		return qm.Decision{}, false
 	}
 	key := affinity(r, h.share)
-	var best *quetzalmount.Endpoint
+	var best *qm.Endpoint
 	var top uint64
 	for _, e := range engines {
 		if !usable(e, state, r.Exclude) {
@@ -64,8 +64,8 @@
 			best, top = e, w
 		}
 	}
-	return quetzalmount.Decision{Endpoint: best, Incarnation: best.Incarnation, Reason: reasonHash}, true
+	return qm.Decision{Endpoint: best, Incarnation: best.Incarnation, Reason: reasonHash}, true
 }
 
 // NewHash returns plain consistent hashing of the prefix that covers share of the prompt.
-func NewHash(share float64) quetzalmount.Placer { return hash{share: share} }
+func NewHash(share float64) qm.Placer { return hash{share: share} }
--- a/internal/route/place/learn.go
+++ b/internal/route/place/learn.go
@@ -4,7 +4,7 @@
 	"math"
 	"time"
 
-	"quetzalmount.dev/quetzalmount"
+	qm "quetzalmount.dev/quetzalmount"
 	"quetzalmount.dev/quetzalmount/internal/route/sketch"
 )
 
@@ -21,7 +21,7 @@
 
 // Dispatched implements quetzalmount.Placer. The engine will hold the prompt once it is prefilled, and requests that follow
 // before that wait behind it, so the prompt counts as held from now on.
-func (p *Expected) Dispatched(r *quetzalmount.PlaceRequest, d quetzalmount.Decision, now time.Time) {
+func (p *Expected) Dispatched(r *qm.PlaceRequest, d qm.Decision, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.fleet.start(r, d, now)
@@ -37,7 +37,7 @@
 
 // FirstToken implements quetzalmount.Placer.
 func (p *Expected) FirstToken(
-	r *quetzalmount.PlaceRequest, d quetzalmount.Decision, cached quetzalmount.Tokens, now time.Time,
+	r *qm.PlaceRequest, d qm.Decision, cached qm.Tokens, now time.Time,
 ) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -54,7 +54,7 @@
 }
 
 // Finished implements quetzalmount.Placer.
-func (p *Expected) Finished(r *quetzalmount.PlaceRequest, d quetzalmount.Decision, now time.Time) {
+func (p *Expected) Finished(r *qm.PlaceRequest, d qm.Decision, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	f, e := p.fleet.end(r, d)
@@ -75,7 +75,7 @@
 
 // Observe implements quetzalmount.CacheObserver. Events of another incarnation than the one in the view are ignored.
 func (p *Expected) Observe(
-	id quetzalmount.EndpointID, inc quetzalmount.Incarnation, events []quetzalmount.CacheEvent, gap bool, now time.Time,
+	id qm.EndpointID, inc qm.Incarnation, events []qm.CacheEvent, gap bool, now time.Time,
 ) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -107,7 +107,7 @@
 
 // lost learns the share of an engine's events that do not arrive, from the numbers missing among them. Those before the first
 // events of an incarnation may be no longer retained, which is no loss.
-func (p *Expected) lost(e *engine, events []quetzalmount.CacheEvent) {
+func (p *Expected) lost(e *engine, events []qm.CacheEvent) {
 	if len(events) == 0 {
 		return
 	}
@@ -123,7 +123,7 @@
 }
 
 // seen returns when an engine was last known to hold a prefix.
-func (p *Expected) seen(key quetzalmount.PrefixKey, slot sketch.Slot, epoch uint16) (sketch.Tick, bool) {
+func (p *Expected) seen(key qm.PrefixKey, slot sketch.Slot, epoch uint16) (sketch.Tick, bool) {
 	for _, h := range p.table.Get(key) {
 		if h.Engine == slot && h.Epoch == epoch {
 			return h.Seen, true
@@ -133,7 +133,7 @@
 }
 
 // Forget implements quetzalmount.CacheObserver.
-func (p *Expected) Forget(id quetzalmount.EndpointID, inc quetzalmount.Incarnation) {
+func (p *Expected) Forget(id qm.EndpointID, inc qm.Incarnation) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if s, ok := p.fleet.byID[id]; ok && p.fleet.engines[s].inc != inc {
--- a/internal/route/place/least.go
+++ b/internal/route/place/least.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"quetzalmount.dev/quetzalmount"
+	qm "quetzalmount.dev/quetzalmount"
 )
 
 // least takes the engine with the fewest requests.
@@ -18,16 +18,16 @@
 
 // Place implements quetzalmount.Placer.
 func (l *least) Place(
-	r *quetzalmount.PlaceRequest, engines []*quetzalmount.Endpoint, now time.Time, rnd *rand.Rand,
-) (quetzalmount.Decision, bool) {
+	r *qm.PlaceRequest, engines []*qm.Endpoint, now time.Time, rnd *rand.Rand,
+) (qm.Decision, bool) {
 	state, n := tier(engines, r.Exclude)
 	if n == 0 {
-		return quetzalmount.Decision{}, false
+		return qm.Decision{}, false
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.fleet.sync(engines, now)
-	var best *quetzalmount.Endpoint
+	var best *qm.Endpoint
 	low, ties := 0, 0
 	for i, e := range engines {
 		if !usable(e, state, r.Exclude) {
@@ -42,25 +42,25 @@
 			}
 		}
 	}
-	return quetzalmount.Decision{Endpoint: best, Incarnation: best.Incarnation, Reason: reasonLeast}, true
+	return qm.Decision{Endpoint: best, Incarnation: best.Incarnation, Reason: reasonLeast}, true
 }
 
 // Dispatched implements quetzalmount.Placer.
-func (l *least) Dispatched(r *quetzalmount.PlaceRequest, d quetzalmount.Decision, now time.Time) {
+func (l *least) Dispatched(r *qm.PlaceRequest, d qm.Decision, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.fleet.start(r, d, now)
 }
 
 // FirstToken implements quetzalmount.Placer.
-func (l *least) FirstToken(r *quetzalmount.PlaceRequest, d quetzalmount.Decision, _ quetzalmount.Tokens, _ time.Time) {
+func (l *least) FirstToken(r *qm.PlaceRequest, d qm.Decision, _ qm.Tokens, _ time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.fleet.prefilled(r, d)
 }
 
 // Finished implements quetzalmount.Placer.
-func (l *least) Finished(r *quetzalmount.PlaceRequest, d quetzalmount.Decision, _ time.Time) {
+func (l *least) Finished(r *qm.PlaceRequest, d qm.Decision, _ time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.fleet.end(r, d)
--- a/internal/route/place/pair.go
+++ b/internal/route/place/pair.go
@@ -4,7 +4,7 @@
 	"math/rand/v2"
 	"time"
 
-	"quetzalmount.dev/quetzalmount"
+	qm "quetzalmount.dev/quetzalmount"
 )
 
 // pair takes the less loaded of the two engines with the highest weights: the power of two choices with affinity. It is no
@@ -15,15 +15,15 @@
 }
 
 // NewPair returns the choice between the first two engines by rendezvous hash of the prefix that covers share of the prompt.
-func NewPair(share float64) quetzalmount.Placer { return &pair{least: newLeast(), share: share} }
+func NewPair(share float64) qm.Placer { return &pair{least: newLeast(), share: share} }
 
 // Place implements quetzalmount.Placer.
 func (p *pair) Place(
-	r *quetzalmount.PlaceRequest, engines []*quetzalmount.Endpoint, now time.Time, _ *rand.Rand,
-) (quetzalmount.Decision, bool) {
+	r *qm.PlaceRequest, engines []*qm.Endpoint, now time.Time, _ *rand.Rand,
+) (qm.Decision, bool) {
 	state, n := tier(engines, r.Exclude)
 	if n == 0 {
-		return quetzalmount.Decision{}, false
+		return qm.Decision{}, false
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -40,5 +40,5 @@
 	if two.n > 1 && p.fleet.at(two.places[1]).load() < p.fleet.at(at).load() {
 		at = two.places[1]
 	}
-	return quetzalmount.Decision{Endpoint: engines[at], Incarnation: engines[at].Incarnation, Reason: reasonHash}, true
+	return qm.Decision{Endpoint: engines[at], Incarnation: engines[at].Incarnation, Reason: reasonHash}, true
 }
--- a/internal/route/place/place.go
+++ b/internal/route/place/place.go
@@ -8,7 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"quetzalmount.dev/quetzalmount"
+	qm "quetzalmount.dev/quetzalmount"
 	"quetzalmount.dev/quetzalmount/internal/route/sketch"
 )
 
@@ -78,8 +78,8 @@
 }
 
 var (
-	_ quetzalmount.Placer        = (*Expected)(nil)
-	_ quetzalmount.CacheObserver = (*Expected)(nil)
+	_ qm.Placer        = (*Expected)(nil)
+	_ qm.CacheObserver = (*Expected)(nil)
 )
 
 // New returns a placer without any state.
@@ -92,35 +92,35 @@
 
 // Place implements quetzalmount.Placer.
 func (p *Expected) Place(
-	r *quetzalmount.PlaceRequest, engines []*quetzalmount.Endpoint, now time.Time, rnd *rand.Rand,
-) (quetzalmount.Decision, bool) {
+	r *qm.PlaceRequest, engines []*qm.Endpoint, now time.Time, rnd *rand.Rand,
+) (qm.Decision, bool) {
 	state, n := tier(engines, r.Exclude)
 	if n == 0 {
-		return quetzalmount.Decision{}, false
+		return qm.Decision{}, false
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.fleet.sync(engines, now)
 	tick := p.fleet.tick(now)
-	group := quetzalmount.PrefixKey(xxhash.Sum64String(string(engines[0].Group)))
+	group := qm.PrefixKey(xxhash.Sum64String(string(engines[0].Group)))
 	p.count(r, group, tick)
 	p.trace(r, tick)
 	best := p.score(r, engines, state, n, group, tick)
 	at, reason := p.choose(best, rnd)
 	e := p.fleet.at(at)
-	d := quetzalmount.Decision{
+	d := qm.Decision{
 		Endpoint: engines[at], Incarnation: engines[at].Incarnation, Reason: reason,
 		Expected: time.Duration(p.times[at] * float64(time.Second)),
 	}
 	if e.stamp == p.stamp {
-		d.Hit = quetzalmount.Tokens(e.hit)
+		d.Hit = qm.Tokens(e.hit)
 	}
 	return d, true
 }
 
 // trace computes the expected hit of every engine that the table names for the prompt. An engine that holds a step holds
 // the steps before it too, so the steps are walked from the longest on.
-func (p *Expected) trace(r *quetzalmount.PlaceRequest, now sketch.Tick) {
+func (p *Expected) trace(r *qm.PlaceRequest, now sketch.Tick) {
 	p.stamp++
 	for i := len(r.Spans) - 1; i >= 0; i-- {
 		for _, h := range p.table.Get(r.Spans[i].Key) {
@@ -162,7 +162,7 @@
 
 // count counts the prefixes of the prompt and the requests of the group, of which they have a share. The whole prompt, which
 // hardly ever comes again, counts only if it is one step.
-func (p *Expected) count(r *quetzalmount.PlaceRequest, group quetzalmount.PrefixKey, now sketch.Tick) {
+func (p *Expected) count(r *qm.PlaceRequest, group qm.PrefixKey, now sketch.Tick) {
 	p.hot.Decay(now)
 	p.hot.Add(group)
 	for _, s := range shared(r) {
@@ -171,7 +171,7 @@
 }
 
 // shared returns the steps that other prompts may have in common with this one.
-func shared(r *quetzalmount.PlaceRequest) []quetzalmount.PrefixSpan {
+func shared(r *qm.PlaceRequest) []qm.PrefixSpan {
 	if len(r.Spans) > 1 {
 		return r.Spans[:len(r.Spans)-1]
 	}
@@ -180,7 +180,7 @@
 
 // settle finds the homes of the prompt: by share while the router knows the shares and sees the caches, else by plain hash.
 // A hot prefix has several homes either way.
-func (p *Expected) settle(r *quetzalmount.PlaceRequest, group quetzalmount.PrefixKey, n int, sight float64) {
+func (p *Expected) settle(r *qm.PlaceRequest, group qm.PrefixKey, n int, sight float64) {
 	p.homes.reset()
 	total := math.Max(1, p.hot.Count(group))
 	if total >= p.opt.Sample && sight >= p.opt.LeastSight {
@@ -198,7 +198,7 @@
 // chosen by weight among those kept before. So a large team is spread over several engines by its contexts, a small one stays
 // on one engine, and a hot prefix keeps several to the end. No fixed level of the prompt has to be named, and the common first
 // levels take memory on few engines only.
-func (p *Expected) narrow(r *quetzalmount.PlaceRequest, total float64, n int) {
+func (p *Expected) narrow(r *qm.PlaceRequest, total float64, n int) {
 	for _, s := range shared(r) {
 		want := p.width(s.Key, total, n)
 		if want > maxHomes || want >= p.homes.size(n) {
@@ -213,12 +213,12 @@
 }
 
 // width returns the number of engines that the share of a prefix needs. The request itself is one of those counted.
-func (p *Expected) width(key quetzalmount.PrefixKey, total float64, n int) int {
+func (p *Expected) width(key qm.PrefixKey, total float64, n int) int {
 	return max(1, int(math.Ceil(p.opt.Width*float64(n)*(p.hot.Count(key)-1)/total)))
 }
 
 // selectHomes selects the first homes of a prompt among all engines that may be used.
-func (p *Expected) selectHomes(key quetzalmount.PrefixKey, want int) {
+func (p *Expected) selectHomes(key qm.PrefixKey, want int) {
 	p.homes.begin(want)
 	for at, t := range p.times {
 		if !math.IsInf(t, 1) {
@@ -229,8 +229,8 @@
 
 // score fills in the expected times, the homes and the scores, and returns the least score.
 func (p *Expected) score(
-	r *quetzalmount.PlaceRequest, engines []*quetzalmount.Endpoint, state quetzalmount.MemberState, n int,
-	group quetzalmount.PrefixKey, now sketch.Tick,
+	r *qm.PlaceRequest, engines []*qm.Endpoint, state qm.MemberState, n int,
+	group qm.PrefixKey, now sketch.Tick,
 ) float64 {
 	total := 0
 	p.times, p.scores = p.times[:0], p.scores[:0]
@@ -282,7 +282,7 @@
 
 // charge adds the cost of prefilling again what another engine is expected to hold. The homes of a hot prefix do not pay it,
 // since the prefix needs a copy at each of them.
-func (p *Expected) charge(r *quetzalmount.PlaceRequest) {
+func (p *Expected) charge(r *qm.PlaceRequest) {
 	least := math.Inf(1)
 	for i, t := range p.times {
 		if !math.IsInf(t, 1) {
@@ -304,7 +304,7 @@
 }
 
 // expect returns the expected time to first token at an engine, in seconds.
-func (p *Expected) expect(r *quetzalmount.PlaceRequest, e *engine) float64 {
+func (p *Expected) expect(r *qm.PlaceRequest, e *engine) float64 {
 	tokens := e.pending + math.Max(0, p.base+p.slope*e.others()) + p.missing(r, e)
 	wait := 0.0
 	if over := e.load() + 1 - e.slots; over > 0 && e.slots > 0 {
@@ -314,7 +314,7 @@
 }
 
 // missing returns the tokens that the engine is expected to prefill.
-func (p *Expected) missing(r *quetzalmount.PlaceRequest, e *engine) float64 {
+func (p *Expected) missing(r *qm.PlaceRequest, e *engine) float64 {
 	if e.stamp != p.stamp {
 		return float64(r.PromptTokens)
 	}
--- a/internal/route/place/place_test.go
+++ b/internal/route/place/place_test.go
@@ -6,19 +6,19 @@
 	"testing"
 	"time"
 
-	"quetzalmount.dev/quetzalmount"
+	qm "quetzalmount.dev/quetzalmount"
 	"quetzalmount.dev/quetzalmount/internal/route/prefix"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 // view returns n live engines with an empty queue.
-func view(n int, edit func(i int, e *quetzalmount.Endpoint)) []*quetzalmount.Endpoint {
-	var all []*quetzalmount.Endpoint
+func view(n int, edit func(i int, e *qm.Endpoint)) []*qm.Endpoint {
+	var all []*qm.Endpoint
 	for i := range n {
-		e := &quetzalmount.Endpoint{
-			ID: quetzalmount.EndpointID("e" + strconv.Itoa(i)), Group: "g", State: quetzalmount.Live, Incarnation: "one",
-			Version: "v1", ReportedAt: start, Load: quetzalmount.Load{Slots: 48, UsedBlocks: 50},
+		e := &qm.Endpoint{
+			ID: qm.EndpointID("e" + strconv.Itoa(i)), Group: "g", State: qm.Live, Incarnation: "one",
+			Version: "v1", ReportedAt: start, Load: qm.Load{Slots: 48, UsedBlocks: 50},
 		}
 		if edit != nil {
 			edit(i, e)
@@ -29,13 +29,13 @@
 }
 
 // ask returns a request whose prompt has three shared steps and a question of its own.
-func ask(team, version, context string, question uint64) *quetzalmount.PlaceRequest {
-	s := prefix.Scope{Team: quetzalmount.TeamID(team), Model: "m", Version: quetzalmount.VersionID(version)}
-	r := &quetzalmount.PlaceRequest{Team: s.Team, Model: "m", PromptTokens: 12500}
+func ask(team, version, context string, question uint64) *qm.PlaceRequest {
+	s := prefix.Scope{Team: qm.TeamID(team), Model: "m", Version: qm.VersionID(version)}
+	r := &qm.PlaceRequest{Team: s.Team, Model: "m", PromptTokens: 12500}
 	key := s.Root()
 	for i, id := range []uint64{1, uint64(len(context)) + 10, uint64(len(context)) + 20, question + 1000} {
 		key = prefix.Step(key, id)
-		r.Spans = append(r.Spans, quetzalmount.PrefixSpan{Key: key, End: min(12500, quetzalmount.Tokens(i+1)*4000)})
+		r.Spans = append(r.Spans, qm.PrefixSpan{Key: key, End: min(12500, qm.Tokens(i+1)*4000)})
 	}
 	return r
 }
@@ -53,14 +53,14 @@
 }
 
 // serve runs a request to its end in 0.4 s.
-func (x *tester) serve(r *quetzalmount.PlaceRequest, d quetzalmount.Decision) {
+func (x *tester) serve(r *qm.PlaceRequest, d qm.Decision) {
 	x.p.Dispatched(r, d, x.now)
 	x.now = x.now.Add(400 * time.Millisecond)
 	x.p.FirstToken(r, d, d.Hit, x.now)
 	x.p.Finished(r, d, x.now)
 }
 
-func (x *tester) place(r *quetzalmount.PlaceRequest, v []*quetzalmount.Endpoint) quetzalmount.Decision {
+func (x *tester) place(r *qm.PlaceRequest, v []*qm.Endpoint) qm.Decision {
 	x.t.Helper()
 	d, ok := x.p.Place(r, v, x.now, x.rnd)
 	if !ok {
@@ -70,11 +70,11 @@
 }
 
 // hear sends events of other prompts from all engines, as many as their caches hold, so that the router is not blind.
-func (x *tester) hear(v []*quetzalmount.Endpoint) {
+func (x *tester) hear(v []*qm.Endpoint) {
 	for _, e := range v {
-		events := make([]quetzalmount.CacheEvent, e.Load.UsedBlocks)
+		events := make([]qm.CacheEvent, e.Load.UsedBlocks)
 		for i := range events {
-			events[i] = quetzalmount.CacheEvent{Seq: int64(i + 1), Stored: true, Block: quetzalmount.PrefixKey(i + 1)}
+			events[i] = qm.CacheEvent{Seq: int64(i + 1), Stored: true, Block: qm.PrefixKey(i + 1)}
 		}
 		x.p.Observe(e.ID, e.Incarnation, events, false, x.now)
 	}
@@ -83,41 +83,41 @@
 // TestReuse guards against decisions that count on entries of a dead incarnation, of another team or of older weights, and
 // against forgetting entries that are still good.
 func TestReuse(t *testing.T) {
-	with := func(edit func(*quetzalmount.Endpoint)) []*quetzalmount.Endpoint {
-		return view(8, func(_ int, e *quetzalmount.Endpoint) { edit(e) })
+	with := func(edit func(*qm.Endpoint)) []*qm.Endpoint {
+		return view(8, func(_ int, e *qm.Endpoint) { edit(e) })
 	}
 	tests := []struct {
 		name string
-		view []*quetzalmount.Endpoint
-		req  *quetzalmount.PlaceRequest
-		then func(x *tester, e quetzalmount.EndpointID)
-		want quetzalmount.Tokens
+		view []*qm.Endpoint
+		req  *qm.PlaceRequest
+		then func(x *tester, e qm.EndpointID)
+		want qm.Tokens
 	}{
 		{name: "same prefix", req: ask("a", "v1", "c", 2), want: 12000},
 		{name: "other context", req: ask("a", "v1", "other", 2), want: 4000},
 		{name: "other team", req: ask("b", "v1", "c", 2)},
 		{name: "older weights", req: ask("a", "v0", "c", 2)},
 		{name: "restarted engine", req: ask("a", "v1", "c", 2),
-			view: with(func(e *quetzalmount.Endpoint) { e.Incarnation = "two" })},
+			view: with(func(e *qm.Endpoint) { e.Incarnation = "two" })},
 		{name: "new weights in the same process", req: ask("a", "v1", "c", 2),
-			view: with(func(e *quetzalmount.Endpoint) { e.Version = "v2" })},
-		{name: "forgotten", req: ask("a", "v1", "c", 2), view: with(func(e *quetzalmount.Endpoint) { e.Incarnation = "two" }),
-			then: func(x *tester, e quetzalmount.EndpointID) { x.p.Forget(e, "two") }},
+			view: with(func(e *qm.Endpoint) { e.Version = "v2" })},
+		{name: "forgotten", req: ask("a", "v1", "c", 2), view: with(func(e *qm.Endpoint) { e.Incarnation = "two" }),
+			then: func(x *tester, e qm.EndpointID) { x.p.Forget(e, "two") }},
 		{name: "forgotten, and the view is older", req: ask("a", "v1", "c", 2),
-			then: func(x *tester, e quetzalmount.EndpointID) { x.p.Forget(e, "two") }},
+			then: func(x *tester, e qm.EndpointID) { x.p.Forget(e, "two") }},
 		{name: "events of a dead incarnation", req: ask("a", "v1", "c", 2),
-			view: with(func(e *quetzalmount.Endpoint) { e.Incarnation = "two" }),
-			then: func(x *tester, e quetzalmount.EndpointID) {
+			view: with(func(e *qm.Endpoint) { e.Incarnation = "two" }),
+			then: func(x *tester, e qm.EndpointID) {
 				x.p.Forget(e, "two")
 				for _, s := range ask("a", "v1", "c", 2).Spans {
-					x.p.Observe(e, "one", []quetzalmount.CacheEvent{{Stored: true, Block: s.Key}}, false, x.now)
+					x.p.Observe(e, "one", []qm.CacheEvent{{Stored: true, Block: s.Key}}, false, x.now)
 				}
 			}},
 		{name: "evicted", req: ask("a", "v1", "c", 2), want: 4000,
-			then: func(x *tester, e quetzalmount.EndpointID) {
+			then: func(x *tester, e qm.EndpointID) {
 				x.now = x.now.Add(time.Second)
 				for _, s := range ask("a", "v1", "c", 2).Spans[1:] {
-					x.p.Observe(e, "one", []quetzalmount.CacheEvent{{Block: s.Key}}, false, x.now)
+					x.p.Observe(e, "one", []qm.CacheEvent{{Block: s.Key}}, false, x.now)
 				}
 			}},
 	}
@@ -188,10 +188,10 @@
 	x.place(ask("a", "v1", "c", 1), view(1, nil))
 	seq, early := int64(70000), 0.0
 	for i := range 200 {
-		events := make([]quetzalmount.CacheEvent, 10)
+		events := make([]qm.CacheEvent, 10)
 		for j := range events {
 			seq++
-			events[j] = quetzalmount.CacheEvent{Seq: seq, Stored: true, Block: quetzalmount.PrefixKey(seq)}
+			events[j] = qm.CacheEvent{Seq: seq, Stored: true, Block: qm.PrefixKey(seq)}
 		}
 		if i%4 != 3 {
 			// A new reader gets the first events with a gap before them; that gap is no loss.
@@ -215,7 +215,7 @@
 	x := newTester(t)
 	for i := range 40 {
 		now := start.Add(time.Duration(i) * 250 * time.Millisecond)
-		x.place(ask("a", "v1", "c", uint64(i)), view(1, func(_ int, e *quetzalmount.Endpoint) {
+		x.place(ask("a", "v1", "c", uint64(i)), view(1, func(_ int, e *qm.Endpoint) {
 			e.ReportedAt, e.Load.EvictedBlocks = now, int64(i*5)
 		}))
 	}
@@ -229,7 +229,7 @@
 	x := newTester(t)
 	r := ask("a", "v1", "c", 1)
 	home := x.place(r, view(3, nil)).Endpoint.ID
-	busy := view(3, func(_ int, e *quetzalmount.Endpoint) {
+	busy := view(3, func(_ int, e *qm.Endpoint) {
 		if e.ID == home {
 			e.Load.QueuedTokens, e.ReportedAt = 200000, start.Add(time.Second)
 		}
@@ -242,7 +242,7 @@
 	for i := range 4 {
 		long := ask("b", "v1", strconv.Itoa(i), uint64(i))
 		long.PromptTokens = 50000
-		own.p.Dispatched(long, quetzalmount.Decision{Endpoint: d.Endpoint, Incarnation: d.Incarnation}, own.now)
+		own.p.Dispatched(long, qm.Decision{Endpoint: d.Endpoint, Incarnation: d.Incarnation}, own.now)
 	}
 	if again := own.place(r, view(3, nil)); again.Endpoint.ID == home {
 		t.Errorf("chose %s, where 200,000 tokens of own requests wait", home)
@@ -288,8 +288,8 @@
 	for i := range 400 {
 		x.now = x.now.Add(time.Second)
 		r := ask("a", "v1", "c", uint64(i))
-		d := x.place(r, view(3, func(n int, e *quetzalmount.Endpoint) {
-			e.ReportedAt, e.Load.QueuedTokens = x.now, quetzalmount.Tokens((i*7+n*5)%11*4000)
+		d := x.place(r, view(3, func(n int, e *qm.Endpoint) {
+			e.ReportedAt, e.Load.QueuedTokens = x.now, qm.Tokens((i*7+n*5)%11*4000)
 		}))
 		x.p.Dispatched(r, d, x.now)
 		x.p.FirstToken(r, d, d.Hit, x.now.Add(time.Duration(float64(r.PromptTokens-d.Hit)*firstCost*1e9)))
@@ -305,12 +305,12 @@
 	x := newTester(t)
 	r := ask("a", "v1", "c", 1)
 	home := x.place(r, view(4, nil)).Endpoint.ID
-	busy := view(4, func(_ int, e *quetzalmount.Endpoint) {
+	busy := view(4, func(_ int, e *qm.Endpoint) {
 		if e.ReportedAt = start.Add(time.Second); e.ID == home {
 			e.Load.QueuedTokens = 900000
 		}
 	})
-	used := map[quetzalmount.EndpointID]bool{}
+	used := map[qm.EndpointID]bool{}
 	for range 50 {
 		used[x.place(r, busy).Endpoint.ID] = true
 	}
@@ -347,7 +347,7 @@
 			}
 			for j := range uint64(10) {
 				// The requests of other groups say nothing about this one.
-				x.place(ask("d", "v1", strconv.Itoa(i), j), view(8, func(_ int, e *quetzalmount.Endpoint) {
+				x.place(ask("d", "v1", strconv.Itoa(i), j), view(8, func(_ int, e *qm.Endpoint) {
 					e.ID, e.Group = "x"+e.ID, "other"
 				}))
 			}
@@ -372,8 +372,8 @@
 	f := newFleet()
 	now := start
 	for i := range 100 {
-		f.sync(view(2, func(n int, e *quetzalmount.Endpoint) {
-			e.ID = quetzalmount.EndpointID(strconv.Itoa(i) + "." + strconv.Itoa(n))
+		f.sync(view(2, func(n int, e *qm.Endpoint) {
+			e.ID = qm.EndpointID(strconv.Itoa(i) + "." + strconv.Itoa(n))
 		}), now)
 		now = now.Add(idleTime + time.Second)
 	}
--- a/internal/route/place/policy.go
+++ b/internal/route/place/policy.go
@@ -8,7 +8,7 @@
 	"math/rand/v2"
 	"time"
 
-	"quetzalmount.dev/quetzalmount"
+	qm "quetzalmount.dev/quetzalmount"
 )
 
 // Policy documents a way to place requests.
@@ -19,7 +19,7 @@
 	// Reasons maps each reason that a decision may carry to its meaning.
 	Reasons map[string]string
 	// New returns a placer with its own state.
-	New func() quetzalmount.Placer
+	New func() qm.Placer
 }
 
 // Reasons of decisions.
@@ -39,17 +39,17 @@
 		{
 			Name: "random", Knows: "which engines take work",
 			Reasons: map[string]string{reasonRandom: "drawn with equal chances"},
-			New:     func() quetzalmount.Placer { return random{} },
+			New:     func() qm.Placer { return random{} },
 		},
 		{
 			Name: "least", Knows: "reported requests per engine and the own dispatches since the report",
 			Reasons: map[string]string{reasonLeast: "fewest requests; equal ones by lot"},
-			New:     func() quetzalmount.Placer { return newLeast() },
+			New:     func() qm.Placer { return newLeast() },
 		},
 		{
 			Name: "hash", Knows: "the prefix that covers 0.7 of the prompt",
 			Reasons: map[string]string{reasonHash: "first by rendezvous hash of the prefix"},
-			New:     func() quetzalmount.Placer { return hash{share: HashShare} },
+			New:     func() qm.Placer { return hash{share: HashShare} },
 		},
 		{
 			Name: "expected", Knows: "load reports, own dispatches, first tokens, cache events, recent and hot prefixes",
@@ -59,31 +59,31 @@
 				reasonSpread: "one of the homes of a hot prefix",
 				reasonFree:   "least expected time to first token, without any expected hit",
 			},
-			New: func() quetzalmount.Placer { return New(Defaults()) },
+			New: func() qm.Placer { return New(Defaults()) },
 		},
 	}
 }
 
 // tier returns the best state among the engines that may be used, and how many engines have it.
-func tier(engines []*quetzalmount.Endpoint, exclude []quetzalmount.EndpointID) (quetzalmount.MemberState, int) {
+func tier(engines []*qm.Endpoint, exclude []qm.EndpointID) (qm.MemberState, int) {
 	live, suspect := 0, 0
 	for _, e := range engines {
 		switch {
-		case e.State == quetzalmount.Leaving || excluded(e.ID, exclude):
-		case e.State == quetzalmount.Live:
+		case e.State == qm.Leaving || excluded(e.ID, exclude):
+		case e.State == qm.Live:
 			live++
-		case e.State == quetzalmount.Suspect:
+		case e.State == qm.Suspect:
 			suspect++
 		}
 	}
 	if live > 0 {
-		return quetzalmount.Live, live
+		return qm.Live, live
 	}
-	return quetzalmount.Suspect, suspect
+	return qm.Suspect, suspect
 }
 
 // excluded reports whether id is in the list, which has an entry for each failed attempt of one request.
-func excluded(id quetzalmount.EndpointID, list []quetzalmount.EndpointID) bool {
+func excluded(id qm.EndpointID, list []qm.EndpointID) bool {
 	for _, x := range list {
 		if x == id {
 			return true
@@ -93,28 +93,28 @@
 }
 
 // usable reports whether an engine has the state of the tier and is not excluded.
-func usable(e *quetzalmount.Endpoint, state quetzalmount.MemberState, exclude []quetzalmount.EndpointID) bool {
+func usable(e *qm.Endpoint, state qm.MemberState, exclude []qm.EndpointID) bool {
 	return e.State == state && !excluded(e.ID, exclude)
 }
 
 // blind is embedded by policies that learn nothing from the fate of requests.
 type blind struct{}
 
-func (blind) Dispatched(*quetzalmount.PlaceRequest, quetzalmount.Decision, time.Time) {}
-func (blind) FirstToken(*quetzalmount.PlaceRequest, quetzalmount.Decision, quetzalmount.Tokens, time.Time) {
+func (blind) Dispatched(*qm.PlaceRequest, qm.Decision, time.Time) {}
+func (blind) FirstToken(*qm.PlaceRequest, qm.Decision, qm.Tokens, time.Time) {
 }
-func (blind) Finished(*quetzalmount.PlaceRequest, quetzalmount.Decision, time.Time) {}
+func (blind) Finished(*qm.PlaceRequest, qm.Decision, time.Time) {}
 
 // random draws an engine.
 type random struct{ blind }
 
 // Place implements quetzalmount.Placer.
 func (random) Place(
-	r *quetzalmount.PlaceRequest, engines []*quetzalmount.Endpoint, _ time.Time, rnd *rand.Rand,
-) (quetzalmount.Decision, bool) {
+	r *qm.PlaceRequest, engines []*qm.Endpoint, _ time.Time, rnd *rand.Rand,
+) (qm.Decision, bool) {
 	state, n := tier(engines, r.Exclude)
 	if n == 0 {
-		return quetzalmount.Decision{}, false
+		return qm.Decision{}, false
 	}
 	pick := rnd.IntN(n)
 	for _, e := range engines {
@@ -122,9 +122,9 @@
 			continue
 		}
 		if pick == 0 {
-			return quetzalmount.Decision{Endpoint: e, Incarnation: e.Incarnation, Reason: reasonRandom}, true
+			return qm.Decision{Endpoint: e, Incarnation: e.Incarnation, Reason: reasonRandom}, true
 		}
 		pick--
 	}
-	return quetzalmount.Decision{}, false
+	return qm.Decision{}, false
 }
--- a/internal/route/place/rules_test.go
+++ b/internal/route/place/rules_test.go
@@ -11,7 +11,7 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
-	"quetzalmount.dev/quetzalmount"
+	qm "quetzalmount.dev/quetzalmount"
 	"quetzalmount.dev/quetzalmount/internal/route/sketch"
 )
 
@@ -21,18 +21,18 @@
 }
 
 // loads follows the load of each engine from the outside: reported requests and those sent since.
-type loads map[quetzalmount.EndpointID]int
+type loads map[qm.EndpointID]int
 
 // TestRules guards, for every policy, against a decision for an engine that is dead, excluded, leaving, not in the list, or
 // suspect while a live one is left; and for the router's policy against more requests than the bound at one engine while
 // another is below it.
 func TestRules(t *testing.T) {
 	policies := append(Policies(), Policy{
-		Name: "pair", New: func() quetzalmount.Placer { return NewPair(HashShare) }, Reasons: map[string]string{reasonHash: "x"},
+		Name: "pair", New: func() qm.Placer { return NewPair(HashShare) }, Reasons: map[string]string{reasonHash: "x"},
 	})
 	// A tight bound is met far more often than the one in use.
 	tight := policies[3]
-	tight.Name, tight.New = "tight", func() quetzalmount.Placer { return New(tightOptions()) }
+	tight.Name, tight.New = "tight", func() qm.Placer { return New(tightOptions()) }
 	policies = append(policies, tight)
 	for _, policy := range policies {
 		t.Run(policy.Name, func(t *testing.T) { rapid.Check(t, func(t *rapid.T) { checkRules(t, policy) }) })
@@ -48,7 +48,7 @@
 func checkRules(t *rapid.T, policy Policy) {
 	p, now, rnd := policy.New(), start, rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
 	n := rapid.IntRange(1, 12).Draw(t, "engines")
-	var v []*quetzalmount.Endpoint
+	var v []*qm.Endpoint
 	sent := loads{}
 	for step := range rapid.IntRange(1, 30).Draw(t, "steps") {
 		now = now.Add(time.Duration(rapid.IntRange(1, 900).Draw(t, "pause")) * time.Millisecond)
@@ -74,31 +74,31 @@
 }
 
 // drawView draws a view with a report for each engine; each view has new incarnations, so that earlier dispatches are void.
-func drawView(t *rapid.T, n int, now time.Time) []*quetzalmount.Endpoint {
-	states := []quetzalmount.MemberState{
-		quetzalmount.Live, quetzalmount.Live, quetzalmount.Live, quetzalmount.Suspect, quetzalmount.Leaving,
+func drawView(t *rapid.T, n int, now time.Time) []*qm.Endpoint {
+	states := []qm.MemberState{
+		qm.Live, qm.Live, qm.Live, qm.Suspect, qm.Leaving,
 	}
-	return view(n, func(_ int, e *quetzalmount.Endpoint) {
+	return view(n, func(_ int, e *qm.Endpoint) {
 		e.State = rapid.SampledFrom(states).Draw(t, "state")
-		e.Incarnation = quetzalmount.Incarnation(now.String())
+		e.Incarnation = qm.Incarnation(now.String())
 		e.ReportedAt = now
 		e.Load.Running = rapid.IntRange(0, 12).Draw(t, "running")
 		e.Load.Waiting = rapid.IntRange(0, 10).Draw(t, "waiting")
-		e.Load.QueuedTokens = quetzalmount.Tokens(rapid.IntRange(0, 300000).Draw(t, "queued"))
+		e.Load.QueuedTokens = qm.Tokens(rapid.IntRange(0, 300000).Draw(t, "queued"))
 	})
 }
 
 func checkDecision(
-	t *rapid.T, policy Policy, r *quetzalmount.PlaceRequest, v []*quetzalmount.Endpoint, sent loads,
-	d quetzalmount.Decision, ok bool,
+	t *rapid.T, policy Policy, r *qm.PlaceRequest, v []*qm.Endpoint, sent loads,
+	d qm.Decision, ok bool,
 ) {
-	var live, suspect []*quetzalmount.Endpoint
+	var live, suspect []*qm.Endpoint
 	for _, e := range v {
 		switch {
 		case excluded(e.ID, r.Exclude):
-		case e.State == quetzalmount.Live:
+		case e.State == qm.Live:
 			live = append(live, e)
-		case e.State == quetzalmount.Suspect:
+		case e.State == qm.Suspect:
 			suspect = append(suspect, e)
 		}
 	}
@@ -140,11 +140,11 @@
 // TestReplay guards against a restarted router that ignores the retained events of engines, which come before its first
 // request, and against one that counts on them for an engine that is another incarnation by then.
 func TestReplay(t *testing.T) {
-	for inc, want := range map[quetzalmount.Incarnation]quetzalmount.Tokens{"one": 12000, "zero": 0} {
+	for inc, want := range map[qm.Incarnation]qm.Tokens{"one": 12000, "zero": 0} {
 		x := newTester(t)
 		r := ask("a", "v1", "c", 1)
 		for _, s := range r.Spans[:3] {
-			x.p.Observe("e5", inc, []quetzalmount.CacheEvent{{Stored: true, Block: s.Key}}, false, x.now)
+			x.p.Observe("e5", inc, []qm.CacheEvent{{Stored: true, Block: s.Key}}, false, x.now)
 		}
 		d := x.place(r, view(8, nil))
 		if d.Hit != want || (want > 0 && d.Endpoint.ID != "e5") {
@@ -160,9 +160,9 @@
 	x.place(ask("a", "v1", "c", 1), v)
 	blind := x.p.sight(x.p.fleet.tick(x.now))
 	for _, e := range v {
-		events := make([]quetzalmount.CacheEvent, 25)
+		events := make([]qm.CacheEvent, 25)
 		for i := range events {
-			events[i] = quetzalmount.CacheEvent{Seq: int64(i + 1), Stored: true, Block: quetzalmount.PrefixKey(i)}
+			events[i] = qm.CacheEvent{Seq: int64(i + 1), Stored: true, Block: qm.PrefixKey(i)}
 		}
 		x.p.Observe(e.ID, "one", events, false, x.now)
 	}
@@ -181,7 +181,7 @@
 	moved := 0
 	for i := range 500 {
 		r := ask("a", "v1", "c", 0)
-		r.Spans = []quetzalmount.PrefixSpan{{Key: quetzalmount.PrefixKey(i) * 7919, End: 12500}}
+		r.Spans = []qm.PrefixSpan{{Key: qm.PrefixKey(i) * 7919, End: 12500}}
 		before, _ := p.Place(r, view(9, nil), start, nil)
 		after, _ := p.Place(r, view(10, nil), start, nil)
 		if before.Endpoint.ID != after.Endpoint.ID {
@@ -208,7 +208,7 @@
 				r := ask("a", "v1", strconv.Itoa(i%5), uint64(g*1000+i))
 				d, _ := p.Place(r, view(6, nil), now, rnd)
 				p.Dispatched(r, d, now)
-				p.Observe(d.Endpoint.ID, "one", []quetzalmount.CacheEvent{{Stored: true, Block: r.Spans[0].Key}}, false, now)
+				p.Observe(d.Endpoint.ID, "one", []qm.CacheEvent{{Stored: true, Block: r.Spans[0].Key}}, false, now)
 				p.FirstToken(r, d, d.Hit, now)
 				p.Finished(r, d, now)
 			}
--- a/internal/route/prefix/prefix.go
+++ b/internal/route/prefix/prefix.go
@@ -13,12 +13,12 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"quetzalmount.dev/quetzalmount"
+	qm "quetzalmount.dev/quetzalmount"
 )
 
 const (
 	// blockBytes is the estimated size of one cache block of text.
-	blockBytes = int(quetzalmount.BlockTokens) * quetzalmount.BytesPerToken
+	blockBytes = int(qm.BlockTokens) * qm.BytesPerToken
 	// saltBytes is the part of the SHA-256 sum that the salt keeps: 128 bits make an accidental collision between the
 	// 12,000 teams of the target size negligible.
 	saltBytes = 16
@@ -32,9 +32,9 @@
 
 // Scope is what a cache entry is bound to besides the text.
 type Scope struct {
-	Team    quetzalmount.TeamID
-	Model   quetzalmount.ModelID
-	Version quetzalmount.VersionID
+	Team    qm.TeamID
+	Model   qm.ModelID
+	Version qm.VersionID
 }
 
 // Salt returns the string that engines mix into their cache keys. It names neither the team nor the weights.
@@ -44,9 +44,9 @@
 }
 
 // Root returns the key of the empty prompt, from which every chain of the scope starts.
-func (s Scope) Root() quetzalmount.PrefixKey {
+func (s Scope) Root() qm.PrefixKey {
 	sum := s.sum()
-	return quetzalmount.PrefixKey(binary.LittleEndian.Uint64(sum[:8]))
+	return qm.PrefixKey(binary.LittleEndian.Uint64(sum[:8]))
 }
 
 // sum hashes the fields with their lengths, so that no two scopes share an encoding.
@@ -60,30 +60,30 @@
 }
 
 // Spans returns the steps of a prompt, shortest prefix first. The ends are estimates in tokens.
-func (s Scope) Spans(messages []quetzalmount.Message) []quetzalmount.PrefixSpan {
+func (s Scope) Spans(messages []qm.Message) []qm.PrefixSpan {
 	return s.Append(nil, messages)
 }
 
 // Append appends the steps of a prompt to dst.
-func (s Scope) Append(dst []quetzalmount.PrefixSpan, messages []quetzalmount.Message) []quetzalmount.PrefixSpan {
+func (s Scope) Append(dst []qm.PrefixSpan, messages []qm.Message) []qm.PrefixSpan {
 	key, at := s.Root(), 0
 	for _, m := range messages {
 		text, role := m.Content, m.Role
 		for room := blockBytes - at%blockBytes; len(text) > room; room = blockBytes {
 			at += room
 			key = next(key, cutBlock, role, text[:room])
-			dst = append(dst, quetzalmount.PrefixSpan{Key: key, End: quetzalmount.EstimateTokens(at)})
+			dst = append(dst, qm.PrefixSpan{Key: key, End: qm.EstimateTokens(at)})
 			text, role = text[room:], ""
 		}
 		at += len(text)
 		key = next(key, cutMessage, role, text)
-		dst = append(dst, quetzalmount.PrefixSpan{Key: key, End: quetzalmount.EstimateTokens(at)})
+		dst = append(dst, qm.PrefixSpan{Key: key, End: qm.EstimateTokens(at)})
 	}
 	return dst
 }
 
 // next hashes one step of the chain. role is empty but for the first step of a message.
-func next(prev quetzalmount.PrefixKey, cut byte, role, text string) quetzalmount.PrefixKey {
+func next(prev qm.PrefixKey, cut byte, role, text string) qm.PrefixKey {
 	var head [13]byte
 	binary.LittleEndian.PutUint64(head[:8], uint64(prev))
 	head[8] = cut
@@ -93,13 +93,13 @@
 	_, _ = d.Write(head[:])
 	_, _ = d.WriteString(role)
 	_, _ = d.WriteString(text)
-	return quetzalmount.PrefixKey(d.Sum64())
+	return qm.PrefixKey(d.Sum64())
 }
 
 // Step returns the key that follows prev for a step named by id. Load generators build chains with it without text.
-func Step(prev quetzalmount.PrefixKey, id uint64) quetzalmount.PrefixKey {
+func Step(prev qm.PrefixKey, id uint64) qm.PrefixKey {
 	var buf [16]byte
 	binary.LittleEndian.PutUint64(buf[:8], uint64(prev))
 	binary.LittleEndian.PutUint64(buf[8:], id)
-	return quetzalmount.PrefixKey(xxhash.Sum64(buf[:]))
+	return qm.PrefixKey(xxhash.Sum64(buf[:]))
 }
--- a/internal/route/prefix/prefix_test.go
+++ b/internal/route/prefix/prefix_test.go
@@ -7,20 +7,20 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
-	"quetzalmount.dev/quetzalmount"
+	qm "quetzalmount.dev/quetzalmount"
 )
 
-func msgs(parts ...string) []quetzalmount.Message {
-	var m []quetzalmount.Message
+func msgs(parts ...string) []qm.Message {
+	var m []qm.Message
 	for _, p := range parts {
-		m = append(m, quetzalmount.Message{Role: "user", Content: p})
+		m = append(m, qm.Message{Role: "user", Content: p})
 	}
 	return m
 }
 
 // shared counts the keys that two prompts have in common.
-func shared(a, b []quetzalmount.PrefixSpan) int {
-	seen := map[quetzalmount.PrefixKey]bool{}
+func shared(a, b []qm.PrefixSpan) int {
+	seen := map[qm.PrefixKey]bool{}
 	for _, s := range a {
 		seen[s.Key] = true
 	}
@@ -42,7 +42,7 @@
 	tests := []struct {
 		name string
 		edit func(*Scope)
-		a, b []quetzalmount.Message
+		a, b []qm.Message
 		want int
 	}{
 		{"equal prompts", same, msgs(long, "q"), msgs(long, "q"), 4},
@@ -54,9 +54,9 @@
 		{"differ early", same, msgs("a"+long, "q"), msgs("b"+long, "q"), 0},
 		{"same blocks, longer message", same, msgs(long + "y"), msgs(long + "z"), 3},
 		{"message boundary moved", same, msgs("ab", "c"), msgs("a", "bc"), 0},
-		{"role moved into text", same, msgs("a"), []quetzalmount.Message{{Role: "use", Content: "ra"}}, 0},
+		{"role moved into text", same, msgs("a"), []qm.Message{{Role: "use", Content: "ra"}}, 0},
 		{"message ends at a block", same, msgs(long[:blockBytes] + "y"),
-			[]quetzalmount.Message{{Role: "user", Content: long[:blockBytes]}, {Content: "y"}}, 0},
+			[]qm.Message{{Role: "user", Content: long[:blockBytes]}, {Content: "y"}}, 0},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -74,11 +74,11 @@
 // TestEnds guards against cuts that drift from the engine's blocks when messages do not fill them.
 func TestEnds(t *testing.T) {
 	spans := Scope{}.Spans(msgs(strings.Repeat("x", blockBytes/2), strings.Repeat("y", blockBytes), ""))
-	var got []quetzalmount.Tokens
+	var got []qm.Tokens
 	for _, s := range spans {
 		got = append(got, s.End)
 	}
-	if diff := cmp.Diff([]quetzalmount.Tokens{2000, 4000, 6000, 6000}, got); diff != "" {
+	if diff := cmp.Diff([]qm.Tokens{2000, 4000, 6000, 6000}, got); diff != "" {
 		t.Errorf("ends (-want +got):\n%s", diff)
 	}
 }
@@ -88,7 +88,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		parts := rapid.SliceOfN(rapid.StringN(0, -1, 3*blockBytes), 1, 4).Draw(t, "parts")
 		more := rapid.SliceOfN(rapid.String(), 0, 3).Draw(t, "more")
-		s := Scope{Team: quetzalmount.TeamID(rapid.String().Draw(t, "team"))}
+		s := Scope{Team: qm.TeamID(rapid.String().Draw(t, "team"))}
 		short, long := s.Spans(msgs(parts...)), s.Spans(msgs(append(parts, more...)...))
 		if diff := cmp.Diff(short, long[:len(short)]); diff != "" {
 			t.Fatalf("prefix changed by later messages:\n%s", diff)
@@ -99,7 +99,7 @@
 func BenchmarkAppend(b *testing.B) {
 	m := msgs(strings.Repeat("x", 32000), strings.Repeat("y", 24000), strings.Repeat("z", 16000), "question")
 	s := Scope{Team: "harbour", Model: "scribe", Version: "v1"}
-	var dst []quetzalmount.PrefixSpan
+	var dst []qm.PrefixSpan
 	b.ReportAllocs()
 	for b.Loop() {
 		dst = s.Append(dst[:0], m)
--- a/internal/route/sketch/hot.go
+++ b/internal/route/sketch/hot.go
@@ -4,13 +4,13 @@
 	"math"
 	"time"
 
-	"quetzalmount.dev/quetzalmount"
+	qm "quetzalmount.dev/quetzalmount"
 )
 
 // Hot finds the prefixes that occur most often with the space-saving algorithm: a fixed number of counters, of which the
 // smallest passes to a new key. Counts decay exponentially, so that a shift of the traffic shows within a few half-lives.
 type Hot struct {
-	keys   []quetzalmount.PrefixKey
+	keys   []qm.PrefixKey
 	counts []float64
 	errs   []float64
 	half   time.Duration
@@ -20,12 +20,12 @@
 // NewHot returns a sketch of k counters that forgets half of a count after half.
 func NewHot(k int, half time.Duration) *Hot {
 	return &Hot{
-		keys: make([]quetzalmount.PrefixKey, k), counts: make([]float64, k), errs: make([]float64, k), half: half,
+		keys: make([]qm.PrefixKey, k), counts: make([]float64, k), errs: make([]float64, k), half: half,
 	}
 }
 
 // Add counts one occurrence of key.
-func (h *Hot) Add(key quetzalmount.PrefixKey) {
+func (h *Hot) Add(key qm.PrefixKey) {
 	low := 0
 	for i, k := range h.keys {
 		if k == key && h.counts[i] > 0 {
@@ -55,7 +55,7 @@
 }
 
 // Count returns a lower bound of the occurrences of key.
-func (h *Hot) Count(key quetzalmount.PrefixKey) float64 {
+func (h *Hot) Count(key qm.PrefixKey) float64 {
 	for i, k := range h.keys {
 		if k == key && h.counts[i] > 0 {
 			return h.counts[i] - h.errs[i]
--- a/internal/route/sketch/sketch_test.go
+++ b/internal/route/sketch/sketch_test.go
@@ -7,11 +7,11 @@
 
 	"pgregory.net/rapid"
 
-	"quetzalmount.dev/quetzalmount"
+	qm "quetzalmount.dev/quetzalmount"
 )
 
 // holds reports whether the table names engine with epoch as a holder of key.
-func holds(t *Table, key quetzalmount.PrefixKey, engine Slot, epoch uint16) bool {
+func holds(t *Table, key qm.PrefixKey, engine Slot, epoch uint16) bool {
 	for _, h := range t.Get(key) {
 		if h.Engine == engine && h.Epoch == epoch {
 			return true
@@ -32,7 +32,7 @@
 		now := Tick(1)
 		for range rapid.IntRange(1, 200).Draw(t, "steps") {
 			now++
-			key := quetzalmount.PrefixKey(rapid.IntRange(1, 300).Draw(t, "key"))
+			key := qm.PrefixKey(rapid.IntRange(1, 300).Draw(t, "key"))
 			engine := Slot(rapid.IntRange(0, 2*Holders).Draw(t, "engine"))
 			epoch := uint16(rapid.IntRange(1, 3).Draw(t, "epoch"))
 			if rapid.Bool().Draw(t, "drop") {
@@ -64,7 +64,7 @@
 	if holds(tab, 7, 0, 1) || !holds(tab, 7, 1, 1) || !holds(tab, 7, Holders, 1) {
 		t.Errorf("holders = %v, want all but engine 0", tab.Get(7))
 	}
-	for k := range quetzalmount.PrefixKey(ways) {
+	for k := range qm.PrefixKey(ways) {
 		tab.Add(100+k, 1, 1, 50+Tick(k))
 	}
 	if tab.Get(7) != nil || tab.Get(100) == nil {
@@ -75,19 +75,19 @@
 // TestHot guards against a hot prefix that hides among many rare ones, and against one that stays hot after a shift.
 func TestHot(t *testing.T) {
 	h := NewHot(32, time.Second)
-	const all = quetzalmount.PrefixKey(5)
-	send := func(hot quetzalmount.PrefixKey, from, to Tick) {
+	const all = qm.PrefixKey(5)
+	send := func(hot qm.PrefixKey, from, to Tick) {
 		for now := from; now < to; now++ {
 			h.Decay(now)
 			h.Add(all)
 			h.Add(hot)
-			for i := range quetzalmount.PrefixKey(3) {
+			for i := range qm.PrefixKey(3) {
 				h.Add(all)
-				h.Add(1000 + quetzalmount.PrefixKey(now)*3 + i)
+				h.Add(1000 + qm.PrefixKey(now)*3 + i)
 			}
 		}
 	}
-	share := func(key quetzalmount.PrefixKey) float64 {
+	share := func(key qm.PrefixKey) float64 {
 		return h.Count(key) / h.Count(all)
 	}
 	send(1, 0, 500)
@@ -108,7 +108,7 @@
 	tab, hot, now := New(1024), NewHot(64, time.Second), Tick(0)
 	got := testing.AllocsPerRun(1000, func() {
 		now++
-		key := quetzalmount.PrefixKey(now) * 7919
+		key := qm.PrefixKey(now) * 7919
 		tab.Add(key, Slot(now%12), 1, now)
 		tab.Get(key)
 		tab.Drop(key-7919*5, Slot(now%12))
@@ -124,7 +124,7 @@
 	tab, now := New(1<<15), Tick(0)
 	for b.Loop() {
 		now++
-		tab.Add(quetzalmount.PrefixKey(now%40000)*7919, Slot(now%12), 1, now)
+		tab.Add(qm.PrefixKey(now%40000)*7919, Slot(now%12), 1, now)
 	}
 	b.ReportMetric(float64(tab.Bytes())/float64(tab.Cap()), "bytes/prefix")
 }
--- a/internal/route/sketch/table.go
+++ b/internal/route/sketch/table.go
@@ -9,7 +9,7 @@
 	"time"
 	"unsafe"
 
-	"quetzalmount.dev/quetzalmount"
+	qm "quetzalmount.dev/quetzalmount"
 )
 
 const (
@@ -38,7 +38,7 @@
 
 // entry is one prefix of the table.
 type entry struct {
-	key     quetzalmount.PrefixKey
+	key     qm.PrefixKey
 	holders [Holders]Holder
 	used    Tick
 	live    bool
@@ -71,14 +71,14 @@
 func (t *Table) Bytes() int { return len(t.entries) * int(unsafe.Sizeof(entry{})) }
 
 // set returns the entries that key competes with.
-func (t *Table) set(key quetzalmount.PrefixKey) []entry {
+func (t *Table) set(key qm.PrefixKey) []entry {
 	// The low bits of a hash are as good as any, but a multiplication keeps weak keys of callers from sharing one set.
 	at := (uint64(key) * 0x9e3779b97f4a7c15 >> 20) & t.mask * ways
 	return t.entries[at : at+ways]
 }
 
 // find returns the entry of key, or nil.
-func (t *Table) find(key quetzalmount.PrefixKey) *entry {
+func (t *Table) find(key qm.PrefixKey) *entry {
 	set := t.set(key)
 	for i := range set {
 		if set[i].key == key && set[i].live {
@@ -89,7 +89,7 @@
 }
 
 // Get returns the holders of a prefix, some of which may be void, or nil if the prefix is not known.
-func (t *Table) Get(key quetzalmount.PrefixKey) []Holder {
+func (t *Table) Get(key qm.PrefixKey) []Holder {
 	if e := t.find(key); e != nil {
 		return e.holders[:]
 	}
@@ -97,7 +97,7 @@
 }
 
 // Add records that an engine holds a prefix. If all places for holders are taken the one seen longest ago is dropped.
-func (t *Table) Add(key quetzalmount.PrefixKey, engine Slot, epoch uint16, now Tick) {
+func (t *Table) Add(key qm.PrefixKey, engine Slot, epoch uint16, now Tick) {
 	e := t.find(key)
 	if e == nil {
 		e = t.victim(key)
@@ -123,7 +123,7 @@
 }
 
 // victim returns a free entry or the least recently used one.
-func (t *Table) victim(key quetzalmount.PrefixKey) *entry {
+func (t *Table) victim(key qm.PrefixKey) *entry {
 	set := t.set(key)
 	old := &set[0]
 	for i := range set {
@@ -138,7 +138,7 @@
 }
 
 // Drop records that an engine no longer holds a prefix. A prefix without holders leaves the table.
-func (t *Table) Drop(key quetzalmount.PrefixKey, engine Slot) {
+func (t *Table) Drop(key qm.PrefixKey, engine Slot) {
 	e := t.find(key)
 	if e == nil {
 		return
--- a/internal/route/stream/run.go
+++ b/internal/route/stream/run.go
@@ -171,7 +171,7 @@
 }
 
 // waiting reports whether err means that the first chunk from the engine has not come yet. That is either a busy engine or a
-// silent connection. Asking for the stream again over a fresh connection costs nothing and tells the two apart.
+// stalled connection. Asking for the stream again over a fresh connection costs nothing and tells the two apart.
 func (v *visit) waiting(err error) bool { return !v.got && errors.Is(err, errStalled) }
 
 // canLeave reports whether another engine could take the request.
