Run periodic work through one loop

Cause: the same ticker loop with its stop and wait stood in the slots, the event feed and the monitor. Ruled out: a ticker without a wait for the call under way, which would touch closed parts.

--- a/internal/entry/server/monitor.go
+++ b/internal/entry/server/monitor.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/uber-go/tally/v4"
 
 	qm "quetzalmount.dev/quetzalmount"
+	"quetzalmount.dev/quetzalmount/internal/infra/period"
 )
 
 // monitorEvery is the time between two looks of the monitor. Operators need seconds, not less.
@@ -19,34 +19,18 @@
 	parts *parts
 	log   logr.Logger
 	scope tally.Scope
-	stop  context.CancelFunc
-	done  sync.WaitGroup
+	loop  *period.Loop
 	// holds has the conditions that held at the last look.
 	holds map[string]bool
 }
 
 func newMonitor(ctx context.Context, p *parts) *monitor {
 	m := &monitor{parts: p, log: p.log.WithName("monitor"), scope: p.meter.Scope(), holds: make(map[string]bool)}
-	ctx, m.stop = context.WithCancel(ctx)
-	m.done.Go(func() {
-		tick := time.NewTicker(monitorEvery)
-		defer tick.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-tick.C:
-				m.look()
-			}
-		}
-	})
+	m.loop = period.New(ctx, monitorEvery, func(context.Context) { m.look() })
 	return m
 }
 
-func (m *monitor) close() {
-	m.stop()
-	m.done.Wait()
-}
+func (m *monitor) close() { m.loop.Close() }
 
 func (m *monitor) look() {
 	p := m.parts
--- a/internal/limit/slot/slot.go
+++ b/internal/limit/slot/slot.go
@@ -14,6 +14,7 @@
 	"time"
 
 	qm "quetzalmount.dev/quetzalmount"
+	"quetzalmount.dev/quetzalmount/internal/infra/period"
 	"quetzalmount.dev/quetzalmount/internal/limit/queue"
 	"quetzalmount.dev/quetzalmount/internal/state/board"
 )
@@ -42,8 +43,7 @@
 // Pool gives out places. It is safe for concurrent use.
 type Pool struct {
 	opts Options
-	stop context.CancelFunc
-	done sync.WaitGroup
+	loop *period.Loop
 
 	mu     sync.Mutex
 	queues map[qm.GroupID]*queue.Queue
@@ -53,27 +53,12 @@
 // New starts a pool. It ends with the context or with Close.
 func New(ctx context.Context, opts Options) *Pool {
 	s := &Pool{opts: opts, queues: make(map[qm.GroupID]*queue.Queue), loads: make(map[qm.TeamID]*Load)}
-	ctx, s.stop = context.WithCancel(ctx)
-	s.done.Go(func() {
-		tick := time.NewTicker(capacityEvery)
-		defer tick.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-tick.C:
-				s.adjust(time.Now())
-			}
-		}
-	})
+	s.loop = period.New(ctx, capacityEvery, func(context.Context) { s.adjust(time.Now()) })
 	return s
 }
 
 // Close ends the adjustment of the capacity and waits for it.
-func (p *Pool) Close() {
-	p.stop()
-	p.done.Wait()
-}
+func (p *Pool) Close() { p.loop.Close() }
 
 // Acquire waits for a place at the engines of a group. The caller releases it once the request has left its engine.
 func (p *Pool) Acquire(ctx context.Context, team *qm.Team, group qm.GroupID, cost qm.Tokens) (func(), error) {
--- a/internal/route/feed/feed.go
+++ b/internal/route/feed/feed.go
@@ -15,6 +15,7 @@
 
 	qm "quetzalmount.dev/quetzalmount"
 	"quetzalmount.dev/quetzalmount/internal/infra/logs"
+	"quetzalmount.dev/quetzalmount/internal/infra/period"
 	"quetzalmount.dev/quetzalmount/internal/state/board"
 )
 
@@ -56,8 +57,7 @@
 // Feed follows engines.
 type Feed struct {
 	opts Options
-	done sync.WaitGroup
-	stop context.CancelFunc
+	loop *period.Loop
 
 	mu      sync.Mutex
 	cursors map[qm.EndpointID]*cursor
@@ -67,27 +67,12 @@
 // New starts a feed. It ends with the context or with Close.
 func New(ctx context.Context, opts Options) *Feed {
 	f := &Feed{opts: opts, cursors: make(map[qm.EndpointID]*cursor)}
-	ctx, f.stop = context.WithCancel(ctx)
-	f.done.Go(func() {
-		tick := time.NewTicker(opts.Every)
-		defer tick.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-tick.C:
-				f.round(ctx)
-			}
-		}
-	})
+	f.loop = period.New(ctx, opts.Every, f.round)
 	return f
 }
 
 // Close ends the feed and waits for it.
-func (f *Feed) Close() {
-	f.stop()
-	f.done.Wait()
-}
+func (f *Feed) Close() { f.loop.Close() }
 
 // Used tells that a request was sent to an engine.
 func (f *Feed) Used(id qm.EndpointID, now time.Time) {
