Wait through one function in the configuration and the commands

Cause: state/config and state/order had the same wait that ends with its context, line for line. Ruled out: the waits of stream, gate, claim, peer and the stand-ins, which return an error, add jitter, prefer the other event, or treat a wait of zero in their own way. Conclusion: period.Sleep serves both.

--- a/internal/infra/period/period.go
+++ b/internal/infra/period/period.go
@@ -1,4 +1,4 @@
-// Package period runs a function at a fixed period in the background.
+// Package period runs a function at a fixed period in the background, and waits.
 package period
 
 import (
@@ -38,3 +38,15 @@
 	l.stop()
 	l.done.Wait()
 }
+
+// Sleep waits for d and reports false if the context ended first.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/state/config/editor.go
+++ b/internal/state/config/editor.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	qm "quetzalmount.dev/quetzalmount"
+	"quetzalmount.dev/quetzalmount/internal/infra/period"
 	"quetzalmount.dev/quetzalmount/internal/state/table"
 )
 
@@ -123,7 +124,7 @@
 		_, err = e.log.Append(ctx, Stream, [][]byte{data})
 		if errors.Is(err, qm.ErrNotAppended) {
 			cause = err
-			if !sleep(ctx, retryFirst) {
+			if !period.Sleep(ctx, retryFirst) {
 				return Outcome{Result: NotApplied, Attempt: id, Cause: cause}, nil
 			}
 			continue
--- a/internal/state/config/keep.go
+++ b/internal/state/config/keep.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"quetzalmount.dev/quetzalmount/internal/infra/period"
 )
 
 // mark is the time of a snapshot.
@@ -26,7 +28,7 @@
 // keep writes snapshots at half of the retention time while this instance is the owner.
 func (c *Controller) keep(ctx context.Context) {
 	interval := min(max(c.opts.Retention/looksPerRetention, keepShortest), keepLongest)
-	for sleep(ctx, interval) {
+	for period.Sleep(ctx, interval) {
 		if !c.opts.Owner() || !c.due() {
 			continue
 		}
@@ -72,7 +74,7 @@
 			records = records[n:]
 			continue
 		}
-		if !c.opts.Owner() || !sleep(ctx, snapshotRetry) {
+		if !c.opts.Owner() || !period.Sleep(ctx, snapshotRetry) {
 			return errors.Wrap(err, "append snapshot")
 		}
 	}
--- a/internal/state/config/options.go
+++ b/internal/state/config/options.go
@@ -8,6 +8,7 @@
 	"github.com/google/uuid"
 
 	qm "quetzalmount.dev/quetzalmount"
+	"quetzalmount.dev/quetzalmount/internal/infra/period"
 	"quetzalmount.dev/quetzalmount/internal/state/board"
 	"quetzalmount.dev/quetzalmount/internal/state/table"
 )
@@ -86,16 +87,5 @@
 // wait sleeps and reports false if the context ended.
 func (p *pause) wait(ctx context.Context) bool {
 	p.next = min(max(2*p.next, retryFirst), retryMost)
-	return sleep(ctx, p.next)
-}
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return period.Sleep(ctx, p.next)
 }
--- a/internal/state/order/controller.go
+++ b/internal/state/order/controller.go
@@ -8,6 +8,7 @@
 	"time"
 
 	qm "quetzalmount.dev/quetzalmount"
+	"quetzalmount.dev/quetzalmount/internal/infra/period"
 )
 
 // Controller commands the engines that this router owns.
@@ -71,7 +72,7 @@
 		b, err := c.opts.Log.Read(read, Stream, c.next, readLimit, wait)
 		cancel()
 		if err != nil || !c.take(b) {
-			sleep(ctx, readPause)
+			period.Sleep(ctx, readPause)
 			continue
 		}
 		wait = longPoll
@@ -188,14 +189,3 @@
 	}
 	return wants(table, endpoints)
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/state/order/work.go
+++ b/internal/state/order/work.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	qm "quetzalmount.dev/quetzalmount"
+	"quetzalmount.dev/quetzalmount/internal/infra/period"
 )
 
 // lease is the right to command the endpoint of a slot.
@@ -22,7 +23,7 @@
 // serve works on one slot for as long as the controller runs.
 func (c *Controller) serve(ctx context.Context, i int) {
 	wait := tick
-	for sleep(ctx, wait) {
+	for period.Sleep(ctx, wait) {
 		wait = idleTick
 		j, ok := c.pick(i)
 		if !ok {
@@ -100,7 +101,7 @@
 		return
 	}
 	for l.good() && c.holds(l) {
-		if !sleep(ctx, tick) {
+		if !period.Sleep(ctx, tick) {
 			return
 		}
 	}
@@ -149,7 +150,7 @@
 		if err := r.send(ctx, w); err != nil {
 			return err
 		}
-		if !sleep(ctx, tick) {
+		if !period.Sleep(ctx, tick) {
 			return ctx.Err()
 		}
 	}
@@ -210,7 +211,7 @@
 		if err := r.renew(ctx, false); err != nil {
 			return err
 		}
-		if !sleep(ctx, tick) {
+		if !period.Sleep(ctx, tick) {
 			return ctx.Err()
 		}
 	}
