--- a/errors.go
+++ b/errors.go
@@ -30,36 +30,54 @@
 	CodeUnauthorized Code = "Unauthorized"
 	CodeNotFound     Code = "NotFound"
 	CodeTooLarge     Code = "TooLarge"
-	CodeConflict     Code = "Conflict"
-	CodeRateLimit    Code = "RateLimit"
-	CodeConcurrency  Code = "Concurrency"
-	CodeQueueFull    Code = "QueueFull"
-	CodeNoTable      Code = "NoTable"
-	CodeNoEndpoint   Code = "NoEndpoint"
-	CodeLogDown      Code = "LogUnavailable"
-	CodeEndpoint     Code = "EndpointFailed"
-	CodeTimeout      Code = "Timeout"
-	CodeLeaving      Code = "Leaving"
-	CodeInternal     Code = "Internal"
+	// CodeHeaderTooLarge means that the head of a request has more bytes than the configuration allows.
+	CodeHeaderTooLarge Code = "HeaderTooLarge"
+	// CodeRequestTimeout means that a request did not arrive whole in time.
+	CodeRequestTimeout Code = "RequestTimeout"
+	CodeConflict       Code = "Conflict"
+	CodeRateLimit      Code = "RateLimit"
+	CodeConcurrency    Code = "Concurrency"
+	CodeQueueFull      Code = "QueueFull"
+	CodeNoTable        Code = "NoTable"
+	CodeNoEndpoint     Code = "NoEndpoint"
+	CodeLogDown        Code = "LogUnavailable"
+	CodeEndpoint       Code = "EndpointFailed"
+	CodeTimeout        Code = "Timeout"
+	CodeLeaving        Code = "Leaving"
+	CodeInternal       Code = "Internal"
+	// CodeUnreached means that no byte of a request left for the endpoint.
+	CodeUnreached Code = "EndpointUnreached"
+	// CodeEndpointFull means that the endpoint refused a request without running it.
+	CodeEndpointFull Code = "EndpointFull"
+	// CodeMisdirected means that the endpoint is not the expected one, or that it has other weights than expected.
+	CodeMisdirected Code = "Misdirected"
+	// CodeOverload means that a request could not be answered in time, so that it was not started.
+	CodeOverload Code = "Overload"
 )
 
 // statusOf maps codes to HTTP status codes.
 var statusOf = map[Code]int{
-	CodeBadRequest:   http.StatusBadRequest,
-	CodeUnauthorized: http.StatusUnauthorized,
-	CodeNotFound:     http.StatusNotFound,
-	CodeTooLarge:     http.StatusRequestEntityTooLarge,
-	CodeConflict:     http.StatusConflict,
-	CodeRateLimit:    http.StatusTooManyRequests,
-	CodeConcurrency:  http.StatusTooManyRequests,
-	CodeQueueFull:    http.StatusTooManyRequests,
-	CodeNoTable:      http.StatusServiceUnavailable,
-	CodeNoEndpoint:   http.StatusServiceUnavailable,
-	CodeLogDown:      http.StatusServiceUnavailable,
-	CodeEndpoint:     http.StatusBadGateway,
-	CodeTimeout:      http.StatusGatewayTimeout,
-	CodeLeaving:      http.StatusServiceUnavailable,
-	CodeInternal:     http.StatusInternalServerError,
+	CodeBadRequest:     http.StatusBadRequest,
+	CodeUnauthorized:   http.StatusUnauthorized,
+	CodeNotFound:       http.StatusNotFound,
+	CodeTooLarge:       http.StatusRequestEntityTooLarge,
+	CodeHeaderTooLarge: http.StatusRequestHeaderFieldsTooLarge,
+	CodeRequestTimeout: http.StatusRequestTimeout,
+	CodeConflict:       http.StatusConflict,
+	CodeRateLimit:      http.StatusTooManyRequests,
+	CodeConcurrency:    http.StatusTooManyRequests,
+	CodeQueueFull:      http.StatusTooManyRequests,
+	CodeNoTable:        http.StatusServiceUnavailable,
+	CodeNoEndpoint:     http.StatusServiceUnavailable,
+	CodeLogDown:        http.StatusServiceUnavailable,
+	CodeEndpoint:       http.StatusBadGateway,
+	CodeTimeout:        http.StatusGatewayTimeout,
+	CodeLeaving:        http.StatusServiceUnavailable,
+	CodeInternal:       http.StatusInternalServerError,
+	CodeUnreached:      http.StatusServiceUnavailable,
+	CodeEndpointFull:   http.StatusServiceUnavailable,
+	CodeMisdirected:    http.StatusServiceUnavailable,
+	CodeOverload:       http.StatusServiceUnavailable,
 }
 
 // Error is a failure with what the caller needs to know: whether the request was run, and whether a retry makes sense.
--- /dev/null
+++ b/exchange.go
@@ -0,0 +1,95 @@
+package quetzalmount
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+)
+
+// Kind says how an exchange is answered and whether it may run again.
+type Kind string
+
+// Kinds of exchanges.
+const (
+	// Idempotent exchanges have one whole answer and may run more than once.
+	Idempotent Kind = "Idempotent"
+	// NonIdempotent exchanges have one whole answer and run at most once.
+	NonIdempotent Kind = "NonIdempotent"
+	// Streaming exchanges are answered by events and run at most once.
+	Streaming Kind = "Streaming"
+	// Resumable exchanges are answered by events; another run may go on after the last event that was delivered.
+	Resumable Kind = "Resumable"
+)
+
+// Repeats reports whether an exchange of this kind may run again after it may have run.
+func (k Kind) Repeats() bool { return k == Idempotent || k == Resumable }
+
+// Streams reports whether the answer is a stream of events.
+func (k Kind) Streams() bool { return k == Streaming || k == Resumable }
+
+// PromptStep is one part of a prompt, which other prompts may share as long as all steps before it are the same.
+type PromptStep struct {
+	ID     string
+	Tokens Tokens
+}
+
+// Exchange is one request that is forwarded without being understood: its method, target and body reach the endpoint unchanged.
+type Exchange struct {
+	Request RequestID
+	Route   *Route
+	// Group is the group of endpoints that the route chose for this exchange.
+	Group GroupID
+	Team  TeamID
+	// Isolated tells that the team shares no cache entries with other teams.
+	Isolated bool
+	// Priority is the rank of the exchange, 0 first.
+	Priority int
+	Model    ModelID
+	// Steps are the parts of the prompt, in order. The last one belongs to this exchange alone.
+	Steps                      []PromptStep
+	PromptTokens, OutputTokens Tokens
+
+	// Received is when the exchange was read, Deadline when its caller stops waiting, and GiveUp when the route's time is up as
+	// well, whichever is first.
+	Received, Deadline, GiveUp time.Time
+
+	Method, Host string
+	Target       *url.URL
+	Header       http.Header
+	Body         []byte
+	// LastEvent is the id of the last event that the caller already has, empty for the whole answer.
+	LastEvent string
+}
+
+// Offer is one attempt to have an exchange run.
+type Offer struct {
+	Endpoint *Endpoint
+	// Version is the weights version that the endpoint must have, empty if any will do.
+	Version VersionID
+	// LastEvent is the id of the last event that was delivered; the run goes on behind it.
+	LastEvent string
+	// Urgency is the rank that the endpoint gives the exchange, from 0 to 9, 0 first.
+	Urgency int
+}
+
+// Answer is the answer of an endpoint to an offer. Its body must be closed.
+type Answer struct {
+	Status int
+	Header http.Header
+	// Length is the length of the body in bytes, -1 if it is not known in advance.
+	Length int64
+	Body   io.ReadCloser
+	// Version is the weights version that the endpoint named, empty if none.
+	Version VersionID
+	// Leaving tells that the endpoint asked for no more requests on this connection.
+	Leaving bool
+}
+
+// Carrier sends offers to endpoints. If the error is an *Error with outcome NotRun, the endpoint did not run the exchange and
+// will not: its code tells whether the endpoint was not reached (CodeUnreached), refused for lack of room (CodeEndpointFull) or is
+// another one than expected (CodeMisdirected). After any other error the exchange may have run.
+type Carrier interface {
+	Send(ctx context.Context, x *Exchange, o Offer) (*Answer, error)
+}
--- a/internal/cli/verbs/serve.go
+++ b/internal/cli/verbs/serve.go
@@ -13,6 +13,7 @@
 	"quetzalmount.dev/quetzalmount/internal/infra/conf"
 	"quetzalmount.dev/quetzalmount/internal/infra/logs"
 	"quetzalmount.dev/quetzalmount/internal/state/table"
+	"quetzalmount.dev/quetzalmount/platform"
 )
 
 func settingsFlag() cli.Flag {
@@ -47,6 +48,39 @@
 	}
 }
 
+func platformCommand(stdout io.Writer) *cli.Command {
+	return &cli.Command{
+		Name: "platform", Usage: "run the router on the users' platform until SIGTERM, then finish all requests and exit",
+		UsageText: "quetzalmount platform --settings /etc/quetzalmount/local.toml",
+		Flags: []cli.Flag{
+			&cli.StringFlag{
+				Name: "settings", Usage: "INI `FILE` that the platform renders from deploy/router.ini",
+				Sources: cli.EnvVars(platform.SettingsVariable),
+			},
+			&cli.StringFlag{Name: "log-level", Value: "info", Usage: "least `LEVEL` of log lines: debug, info or error"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			path := c.String("settings")
+			if path == "" {
+				return usage("platform needs --settings FILE or %s", platform.SettingsVariable)
+			}
+			settings, err := platform.LoadSettings(path)
+			if err != nil {
+				return &exitError{code: ExitUsage, err: err}
+			}
+			log, err := logs.New(stdout, c.String("log-level"))
+			if err != nil {
+				return usage("--log-level: %v", err)
+			}
+			r, err := platform.New(path, settings, log)
+			if err != nil {
+				return err
+			}
+			return r.Run(ctx)
+		},
+	}
+}
+
 func checkCommand(stdout io.Writer) *cli.Command {
 	return &cli.Command{
 		Name: "check", Usage: "check settings and a sheet without contacting anything",
--- a/internal/cli/verbs/verbs.go
+++ b/internal/cli/verbs/verbs.go
@@ -85,7 +85,7 @@
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		OnUsageError:   usageError,
 		Commands: []*cli.Command{
-			serveCommand(stdout), checkCommand(stdout), sheet.New(sheet.Options{OpenLog: openLog}), statusCommand(stdout), metricsCommand(stdout), entriesCommand(stdout),
+			serveCommand(stdout), platformCommand(stdout), checkCommand(stdout), sheet.New(sheet.Options{OpenLog: openLog}), statusCommand(stdout), metricsCommand(stdout), entriesCommand(stdout),
 			callCommand(stdout), settingsCommand(stdout), versionCommand(stdout),
 		},
 	}
--- a/internal/client/pool/pool.go
+++ b/internal/client/pool/pool.go
@@ -26,6 +26,10 @@
 	MaxAge         time.Duration
 	ConnectTimeout time.Duration
 	IdlePerHost    int
+	// IdleTime closes connections that were not used for this long; 0 means MaxAge.
+	IdleTime time.Duration
+	// SilentTime ends a connection whose peer acknowledges nothing for this long; 0 leaves it to the system, which takes minutes.
+	SilentTime time.Duration
 	// TLS is used for https addresses; nil means the defaults of net/http.
 	TLS *tls.Config
 }
@@ -54,7 +58,10 @@
 	if opts.IdlePerHost <= 0 {
 		opts.IdlePerHost = DefaultIdlePerHost
 	}
-	d := &net.Dialer{Timeout: opts.ConnectTimeout}
+	if opts.IdleTime <= 0 {
+		opts.IdleTime = opts.MaxAge
+	}
+	d := &net.Dialer{Timeout: opts.ConnectTimeout, Control: silentAfter(opts.SilentTime)}
 	p := &Pool{opts: opts}
 	p.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
 		c, err := d.DialContext(ctx, network, addr)
@@ -72,7 +79,7 @@
 	return &http.Transport{
 		DialContext:         p.dial,
 		MaxIdleConnsPerHost: p.opts.IdlePerHost,
-		IdleConnTimeout:     p.opts.MaxAge,
+		IdleConnTimeout:     p.opts.IdleTime,
 		DisableCompression:  true,
 		TLSClientConfig:     p.opts.TLS,
 	}
--- a/internal/entry/server/monitor.go
+++ b/internal/entry/server/monitor.go
@@ -42,7 +42,7 @@
 	m.gauge("table_offset", int(state.Offset))
 	m.gauge("table_alerts", int(state.Alerts))
 	m.gauge("command_alerts", int(p.orders.Alerts()))
-	m.gauge("endpoints_failing", p.health.breakers.Len())
+	m.gauge("endpoints_failing", p.health.Failing())
 	members, _ := p.board.Members.Load()
 	live := 0
 	for _, member := range members {
--- a/internal/entry/server/parts.go
+++ b/internal/entry/server/parts.go
@@ -21,12 +21,12 @@
 	"quetzalmount.dev/quetzalmount/internal/limit/share"
 	"quetzalmount.dev/quetzalmount/internal/limit/slot"
 	"quetzalmount.dev/quetzalmount/internal/member/advice"
+	"quetzalmount.dev/quetzalmount/internal/member/health"
 	"quetzalmount.dev/quetzalmount/internal/member/peer"
 	"quetzalmount.dev/quetzalmount/internal/member/roster"
 	"quetzalmount.dev/quetzalmount/internal/route/feed"
 	"quetzalmount.dev/quetzalmount/internal/route/invoke"
 	"quetzalmount.dev/quetzalmount/internal/route/relay"
-	"quetzalmount.dev/quetzalmount/internal/route/retry"
 	"quetzalmount.dev/quetzalmount/internal/route/stream"
 	"quetzalmount.dev/quetzalmount/internal/state/board"
 	"quetzalmount.dev/quetzalmount/internal/state/claim"
@@ -61,7 +61,7 @@
 	config  *config.Controller
 	limiter *share.Limiter
 	gate    *gate.Gate
-	health  *health
+	health  *health.Health
 	budget  *budget
 	slots   *slot.Pool
 	placer  qm.Placer
@@ -205,7 +205,7 @@
 		Board: p.board, LoadPercent: p.settings.EngineLoad, QueueLength: p.settings.QueueLength,
 	})
 	p.onClose(p.slots.Close)
-	p.health = &health{breakers: retry.NewBreakers(), roster: p.roster}
+	p.health = health.New(p.roster)
 	p.budget = newBudget()
 }
 
--- a/internal/member/peer/news.go
+++ b/internal/member/peer/news.go
@@ -82,8 +82,11 @@
 
 func toWire(h roster.Hint) *peerpb.EndpointHint {
 	k := peerpb.EndpointHint_FAILED
-	if h.Kind == roster.HintLeaving {
+	switch h.Kind {
+	case roster.HintLeaving:
 		k = peerpb.EndpointHint_LEAVING
+	case roster.HintLoading:
+		k = peerpb.EndpointHint_LOADING
 	}
 	return &peerpb.EndpointHint{
 		Endpoint: string(h.Endpoint), Incarnation: string(h.Incarnation), Kind: k, AgeMs: h.Age.Milliseconds(),
--- a/internal/member/peer/options.go
+++ b/internal/member/peer/options.go
@@ -53,6 +53,8 @@
 	Scheme string
 	// Table returns a snapshot of the table if it is newer than after, else none.
 	Table func(ctx context.Context, after qm.Offset) (snapshot []byte, offset qm.Offset, err error)
+	// Offset returns the offset up to which this router has applied the configuration; nil means that of the table on the board.
+	Offset func() qm.Offset
 	// Grant lends shares of the limits of teams whose home this router is.
 	Grant func(context.Context, *peerpb.BorrowRequest) (*peerpb.BorrowResponse, error)
 
--- a/internal/member/peer/peer.go
+++ b/internal/member/peer/peer.go
@@ -214,7 +214,9 @@
 	s := &peerpb.InstanceState{
 		Instance: string(p.opts.Self.Instance), Incarnation: string(p.opts.Self.Incarnation), Leaving: p.opts.Board.IsLeaving(),
 	}
-	if t, ok := p.opts.Board.Table.Load(); ok {
+	if p.opts.Offset != nil {
+		s.TableOffset = int64(p.opts.Offset())
+	} else if t, ok := p.opts.Board.Table.Load(); ok {
 		s.TableOffset = int64(t.Offset)
 	}
 	p.mu.Lock()
@@ -261,8 +263,11 @@
 		Endpoint: qm.EndpointID(w.GetEndpoint()), Incarnation: qm.Incarnation(w.GetIncarnation()),
 		Kind: roster.HintFailed, Age: time.Duration(w.GetAgeMs()) * time.Millisecond,
 	}
-	if w.GetKind() == peerpb.EndpointHint_LEAVING {
+	switch w.GetKind() {
+	case peerpb.EndpointHint_LEAVING:
 		h.Kind = roster.HintLeaving
+	case peerpb.EndpointHint_LOADING:
+		h.Kind = roster.HintLoading
 	}
 	if m, ok := p.member(qm.InstanceID(h.Endpoint)); ok {
 		if h.Kind == roster.HintFailed && m.State != qm.Suspect && h.Age < roster.HintValidity {
--- a/internal/member/roster/endpoint.go
+++ b/internal/member/roster/endpoint.go
@@ -19,22 +19,25 @@
 	// failures counts failures since the last success.
 	failures int
 	probing  bool
-	usedAt   time.Time
-	polledAt time.Time
+	// loadingUntil is when an endpoint that loads weights is expected to take work again.
+	loadingUntil time.Time
+	usedAt       time.Time
+	polledAt     time.Time
 }
 
 func (e *entry) state() qm.MemberState {
 	switch {
 	case e.listedLeaving, e.saidLeaving:
 		return qm.Leaving
-	case e.suspect:
+	case e.suspect, time.Now().Before(e.loadingUntil):
 		return qm.Suspect
 	}
 	return qm.Live
 }
 
-// mergeEndpoints takes the endpoints of the list; what the list dropped is forgotten. The caller holds r.mu.
-func (r *Roster) mergeEndpoints(list []*qm.Endpoint) {
+// mergeEndpoints takes the endpoints of the list; what the list dropped is forgotten. It returns those that the list names with
+// another incarnation than before. The caller holds r.mu.
+func (r *Roster) mergeEndpoints(list []*qm.Endpoint) (restarted []*qm.Endpoint) {
 	seen := make(map[qm.EndpointID]bool, len(list))
 	for _, l := range list {
 		seen[l.ID] = true
@@ -44,9 +47,18 @@
 			r.endpoints[l.ID] = e
 			r.sorted, r.moved = nil, true
 		}
+		if r.meet(e, l.Incarnation) {
+			restarted = append(restarted, l)
+		}
 		e.listedLeaving = l.State == qm.Leaving
 		v := *e.view
 		v.ID, v.Kind, v.Group, v.Address, v.DataCentre = l.ID, l.Kind, l.Group, l.Address, l.DataCentre
+		if l.ListedAt.After(v.ListedAt) {
+			if l.Version != v.Version {
+				e.loadingUntil = time.Time{}
+			}
+			v.Models, v.Version, v.Load.Slots, v.ListedAt = l.Models, l.Version, l.Load.Slots, l.ListedAt
+		}
 		r.setEntry(e, &v)
 	}
 	for id := range r.endpoints {
@@ -55,6 +67,7 @@
 			r.sorted, r.newEndpoints = nil, true
 		}
 	}
+	return restarted
 }
 
 // setEntry replaces the view of an endpoint. The caller holds r.mu.
@@ -66,11 +79,11 @@
 	}
 }
 
-// sameView compares all fields but the slices, which change only together with ReportedAt.
+// sameView compares all fields but the slices and maps, which change only together with ReportedAt or ListedAt.
 func sameView(a, b *qm.Endpoint) bool {
 	return a.ID == b.ID && a.Kind == b.Kind && a.Group == b.Group && a.Address == b.Address &&
 		a.DataCentre == b.DataCentre && a.State == b.State && a.Incarnation == b.Incarnation &&
-		a.ReportedAt.Equal(b.ReportedAt)
+		a.ReportedAt.Equal(b.ReportedAt) && a.ListedAt.Equal(b.ListedAt)
 }
 
 // refresh publishes the state of e after its flags changed. The caller holds r.mu.
@@ -152,6 +165,26 @@
 	r.update(id, inc, func(e *entry) { r.leaving(e) })
 }
 
+// SawVersion tells that an endpoint answered with a version of a model. Its next list entry goes before it.
+func (r *Roster) SawVersion(id qm.EndpointID, model qm.ModelID, version qm.VersionID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.endpoints[id]
+	if e == nil || e.view.Models[model] == version {
+		return
+	}
+	v := *e.view
+	v.Models = maps.Clone(v.Models)
+	if v.Models == nil {
+		v.Models = map[qm.ModelID]qm.VersionID{}
+	}
+	v.Models[model] = version
+	e.loadingUntil = time.Time{}
+	v.Version, v.ListedAt = qm.JoinVersions(v.Models), time.Now()
+	r.setEntry(e, &v)
+	r.publish()
+}
+
 // suspect marks an endpoint and keeps the evidence for peers. The caller holds r.mu.
 func (r *Roster) suspect(e *entry) {
 	if !e.suspect {
--- a/internal/member/roster/hint.go
+++ b/internal/member/roster/hint.go
@@ -13,8 +13,14 @@
 const (
 	HintLeaving HintKind = iota + 1
 	HintFailed
+	// HintLoading means that the endpoint is about to load weights.
+	HintLoading
 )
 
+// LoadingTime is how long an endpoint that loads weights gets no work, unless it says earlier that it has them: its runs end first, and
+// loading takes two seconds and longer.
+const LoadingTime = 4 * time.Second
+
 // HintValidity is the age at which a hint is dropped. The list has caught up by then.
 const HintValidity = 30 * time.Second
 
@@ -31,6 +37,17 @@
 	at   time.Time
 }
 
+// loadingSlack is the difference in time up to which two hints are about the same loading.
+const loadingSlack = time.Second
+
+// Loading tells that an endpoint is about to load weights.
+func (r *Roster) Loading(id qm.EndpointID) {
+	r.update(id, "", func(e *entry) {
+		e.loadingUntil = time.Now().Add(LoadingTime)
+		r.note(e, HintLoading)
+	})
+}
+
 // note keeps own evidence for the peers. The caller holds r.mu.
 func (r *Roster) note(e *entry, k HintKind) {
 	h := timedHint{Hint{Endpoint: e.view.ID, Incarnation: e.view.Incarnation, Kind: k}, time.Now()}
@@ -79,6 +96,14 @@
 		e.saidLeaving = true
 		r.refresh(e)
 		return true
+	case HintLoading:
+		until := time.Now().Add(LoadingTime - h.Age)
+		if !until.After(e.loadingUntil.Add(loadingSlack)) {
+			return false
+		}
+		e.loadingUntil = until
+		r.refresh(e)
+		return true
 	case HintFailed:
 		if e.suspect || e.probing {
 			return false
--- a/internal/member/roster/roster.go
+++ b/internal/member/roster/roster.go
@@ -134,11 +134,18 @@
 	cctx, cancel := context.WithTimeout(ctx, r.opts.ListEvery)
 	members, endpoints, err := r.opts.List(cctx)
 	cancel()
+	for _, e := range r.takeList(members, endpoints, err) {
+		r.opts.Changed(e.ID, e.Incarnation)
+	}
+}
+
+// takeList takes what the instance list said and returns the endpoints that have restarted.
+func (r *Roster) takeList(members []qm.Member, endpoints []*qm.Endpoint, err error) (restarted []*qm.Endpoint) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.listErr = err
 	if err != nil {
-		return
+		return nil
 	}
 	r.listed = true
 	// An empty list is taken for a fault of the list: a system without members has nothing to route.
@@ -146,9 +153,10 @@
 		r.mergeMembers(members)
 	}
 	if len(endpoints) > 0 {
-		r.mergeEndpoints(endpoints)
+		restarted = r.mergeEndpoints(endpoints)
 	}
 	r.publish()
+	return restarted
 }
 
 // Listed reports whether the list was read since the start, and the error of the last attempt.
--- a/internal/route/invoke/invoke_test.go
+++ b/internal/route/invoke/invoke_test.go
@@ -38,6 +38,7 @@
 func (health) Begin(qm.EndpointID) qm.Attempt { return health{} }
 func (health) Succeeded()                     {}
 func (health) Failed(error)                   {}
+func (health) Abandoned()                     {}
 
 func process(id qm.EndpointID, s qm.MemberState) *qm.Endpoint {
 	return &qm.Endpoint{ID: id, Kind: qm.KindService, Group: "tally", State: s}
--- a/internal/route/place/least.go
+++ b/internal/route/place/least.go
@@ -14,6 +14,9 @@
 	fleet *fleet
 }
 
+// NewLeast returns a placer that chooses the endpoint with the fewest requests.
+func NewLeast() qm.Placer { return newLeast() }
+
 func newLeast() *least { return &least{fleet: newFleet()} }
 
 // Place implements quetzalmount.Placer.
--- a/internal/route/relay/relay_test.go
+++ b/internal/route/relay/relay_test.go
@@ -120,6 +120,8 @@
 
 func (a *attempt) Succeeded() {}
 
+func (a *attempt) Abandoned() {}
+
 func (a *attempt) Failed(error) {
 	a.w.mu.Lock()
 	defer a.w.mu.Unlock()
--- a/internal/route/retry/breaker.go
+++ b/internal/route/retry/breaker.go
@@ -107,6 +107,16 @@
 	}
 }
 
+// Abandon tells that the request ended without a result. If it was a probe, the next request is one again.
+func (p Permit) Abandon(now time.Time) {
+	b := p.breakers
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s := b.states[p.endpoint]; s != nil && p.probe != 0 && p.probe == s.probe {
+		s.until, s.probe = now, 0
+	}
+}
+
 // add returns a new state, in place of the one whose failure is the oldest if there are too many. The caller holds b.mu.
 func (b *Breakers) add(id qm.EndpointID) *state {
 	if len(b.states) >= MaxEntries {
--- a/internal/state/board/board.go
+++ b/internal/state/board/board.go
@@ -58,6 +58,10 @@
 	Members Cell[qm.Members]
 	// Endpoints are the engines and plain services. Owner: member/roster.
 	Endpoints Cell[qm.Endpoints]
+	// Routes is the routing configuration in force, for deployments that have one. Owner: the adapter that reads it.
+	Routes Cell[*qm.Routes]
+	// Weights are the versions that engines should have. The map is replaced, never changed. Owner: the adapter that reads it.
+	Weights Cell[map[qm.ModelID]qm.Weights]
 	// Leaving is set when this router stops. Owner: entry/server.
 	Leaving Cell[bool]
 }
--- a/ports.go
+++ b/ports.go
@@ -243,6 +243,8 @@
 type Attempt interface {
 	Succeeded()
 	Failed(err error)
+	// Abandoned tells that the request ended without saying anything about the endpoint.
+	Abandoned()
 }
 
 // Health says which endpoints may be used, and takes what requests observe of them.
--- /dev/null
+++ b/route.go
@@ -0,0 +1,122 @@
+package quetzalmount
+
+import (
+	"strings"
+	"time"
+)
+
+// RouteID names a route.
+type RouteID string
+
+// Share is a part of a route's exchanges that goes to a group of endpoints.
+type Share struct {
+	Group  GroupID
+	Weight int
+}
+
+// Route tells where the exchanges of a host and a path prefix go and how they may be treated.
+type Route struct {
+	ID RouteID
+	// Prefix begins and ends with a slash.
+	Prefix string
+	Kind   Kind
+	// Timeout is the longest time that a caller is kept waiting, Objective the time within which an answer is worth the most.
+	Timeout, Objective time.Duration
+	// Pause is the longest pause between two events of an answer that is on time, 0 if there is no such bound.
+	Pause    time.Duration
+	Priority int
+	// Attempts is the largest number of endpoints that one exchange may run on.
+	Attempts int
+	Shares   []Share
+	// Public routes need no key.
+	Public bool
+}
+
+// RouteTeam is a team as the routes know it.
+type RouteTeam struct {
+	ID       TeamID
+	Isolated bool
+	// Priority goes before that of the route if it is set.
+	Priority *int
+}
+
+// ServiceGroup describes the endpoints of one service.
+type ServiceGroup struct {
+	ID GroupID
+	// HealthPath is asked with GET to learn whether an endpoint is well.
+	HealthPath string
+	// MaxConns is the number of connections that one endpoint takes from all routers together, 0 if not known.
+	MaxConns int
+	// Engines tells that the endpoints are model engines.
+	Engines bool
+	// Slots is the batch size of an engine, Memory the tokens that it can hold, 0 if not known.
+	Slots  int
+	Memory Tokens
+	Models []ModelID
+	// Store is the address of a cache store, empty for other services.
+	Store string
+}
+
+// Bounds limit what a caller may send.
+type Bounds struct {
+	HeaderBytes int
+	BodyBytes   int64
+	HeaderTime  time.Duration
+	IdleTime    time.Duration
+}
+
+// Routes is the routing configuration in force. It is immutable.
+type Routes struct {
+	// Version is that of the configuration; a higher one replaces a lower one.
+	Version int64
+	// Offset is the position of its record in the log.
+	Offset Offset
+	// Hosts maps a host to its routes, longest prefix first.
+	Hosts  map[string][]*Route
+	Groups map[GroupID]*ServiceGroup
+	// Keys finds the team of a caller's key. A nil map means that no keys are needed.
+	Keys   map[string]*RouteTeam
+	Bounds Bounds
+}
+
+// Find returns the route for a host and a path: the one with the longest prefix of the path. A port in the host is ignored.
+func (r *Routes) Find(host, path string) (*Route, bool) {
+	if h, _, ok := strings.Cut(host, ":"); ok {
+		host = h
+	}
+	for _, route := range r.Hosts[strings.ToLower(host)] {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route, true
+		}
+	}
+	return nil, false
+}
+
+// Choose returns the group for a point from 0 up to 1, in proportion to the weights of the shares.
+func (r *Route) Choose(point float64) (GroupID, bool) {
+	total := 0
+	for _, s := range r.Shares {
+		total += s.Weight
+	}
+	if total <= 0 {
+		return "", false
+	}
+	at := int(point * float64(total))
+	for _, s := range r.Shares {
+		if at < s.Weight {
+			return s.Group, true
+		}
+		at -= s.Weight
+	}
+	return "", false
+}
+
+// Weights names the weights that the engines of a model should have.
+type Weights struct {
+	Version VersionID
+	// Number orders versions; a higher one replaces a lower one.
+	Number int64
+	// Offset is the position of the record that named them, SeenAt when this router read it.
+	Offset Offset
+	SeenAt time.Time
+}
--- a/views.go
+++ b/views.go
@@ -1,6 +1,10 @@
 package quetzalmount
 
-import "time"
+import (
+	"slices"
+	"strings"
+	"time"
+)
 
 // MemberState is the state of a router or an endpoint.
 type MemberState string
@@ -55,9 +59,14 @@
 	Load        Load
 	// ReportedAt is when Load was received; the report itself lags.
 	ReportedAt time.Time
-	Version    VersionID
-	Adapters   []AdapterID
-	Role       string
+	// ListedAt is when the instance list named Version, Models and the slots, zero if the list names none of them.
+	ListedAt time.Time
+	Version  VersionID
+	// Models are the weights of each model that the endpoint has, nil if it is no engine or has not said. The map is replaced, never
+	// changed.
+	Models   map[ModelID]VersionID
+	Adapters []AdapterID
+	Role     string
 }
 
 // Load is an engine's own report.
@@ -75,3 +84,18 @@
 
 // Endpoints is an immutable list of endpoints ordered by id.
 type Endpoints []*Endpoint
+
+// JoinVersions returns one id for the weights of all models of an endpoint. It changes whenever one of them does.
+func JoinVersions(models map[ModelID]VersionID) VersionID {
+	if len(models) == 1 {
+		for _, v := range models {
+			return v
+		}
+	}
+	parts := make([]string, 0, len(models))
+	for m, v := range models {
+		parts = append(parts, string(m)+"="+string(v))
+	}
+	slices.Sort(parts)
+	return VersionID(strings.Join(parts, ","))
+}
