--- a/errors.go
+++ b/errors.go
@@ -51,6 +51,8 @@
 	CodeEndpointFull Code = "EndpointFull"
 	// CodeMisdirected means that the endpoint is not the expected one, or that it has other weights than expected.
 	CodeMisdirected Code = "Misdirected"
+	// CodeAnsweredError means that an endpoint ran a request and answered with a server error of its own.
+	CodeAnsweredError Code = "EndpointAnsweredError"
 	// CodeOverload means that a request could not be answered in time, so that it was not started.
 	CodeOverload Code = "Overload"
 )
@@ -77,6 +79,7 @@
 	CodeUnreached:      http.StatusServiceUnavailable,
 	CodeEndpointFull:   http.StatusServiceUnavailable,
 	CodeMisdirected:    http.StatusServiceUnavailable,
+	CodeAnsweredError:  http.StatusBadGateway,
 	CodeOverload:       http.StatusServiceUnavailable,
 }
 
--- a/exchange.go
+++ b/exchange.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"net/url"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Kind says how an exchange is answered and whether it may run again.
@@ -63,6 +65,27 @@
 	LastEvent string
 }
 
+// Salt returns the text under which engines keep cache entries of the exchange that were made with a version. Entries of other
+// versions, and for isolated teams those of other teams, are under other texts, so that none of them is ever used.
+func (x *Exchange) Salt(v VersionID) string {
+	if x.Isolated {
+		return string(v) + "/" + string(x.Team)
+	}
+	return string(v)
+}
+
+// CacheKey returns the key of one part of a prompt in the cache of an engine. The id of a part names it together with all parts
+// before it.
+func CacheKey(model ModelID, salt, part string) PrefixKey {
+	var h xxhash.Digest
+	h.Reset()
+	for _, s := range []string{string(model), salt, part} {
+		_, _ = h.WriteString(s)
+		_, _ = h.Write([]byte{0})
+	}
+	return PrefixKey(h.Sum64())
+}
+
 // Offer is one attempt to have an exchange run.
 type Offer struct {
 	Endpoint *Endpoint
@@ -70,6 +93,8 @@
 	Version VersionID
 	// LastEvent is the id of the last event that was delivered; the run goes on behind it.
 	LastEvent string
+	// Source is another endpoint from whose cache the endpoint fetches what it lacks of the prompt, nil for none.
+	Source *Endpoint
 	// Urgency is the rank that the endpoint gives the exchange, from 0 to 9, 0 first.
 	Urgency int
 }
--- a/internal/member/census/census.go
+++ b/internal/member/census/census.go
@@ -37,11 +37,13 @@
 // New returns an empty census.
 func New() *Census { return &Census{entries: make(map[qm.EndpointID]entry)} }
 
-// Put takes a registration.
-func (c *Census) Put(e *qm.Endpoint) {
+// Put takes a registration and returns the one before, nil if there was none.
+func (c *Census) Put(e *qm.Endpoint) *qm.Endpoint {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	old := c.entries[e.ID].endpoint
 	c.entries[e.ID] = entry{endpoint: e}
+	return old
 }
 
 // Drop takes the end of a registration.
--- a/internal/member/peer/client.go
+++ b/internal/member/peer/client.go
@@ -56,3 +56,8 @@
 func (p *Peer) Ask(ctx context.Context, m qm.Member, q *peerpb.BorrowRequest) (*peerpb.BorrowResponse, error) {
 	return do(ctx, p.client, m, "borrow shares", p.client.to(m).Borrow, q)
 }
+
+// TradeLoadsWith trades the own load at endpoints for that of another router.
+func (p *Peer) TradeLoadsWith(ctx context.Context, m qm.Member, own *peerpb.LoadShare) (*peerpb.LoadShare, error) {
+	return do(ctx, p.client, m, "trade loads", p.client.to(m).TradeLoads, own)
+}
--- a/internal/member/peer/news.go
+++ b/internal/member/peer/news.go
@@ -87,8 +87,11 @@
 		k = peerpb.EndpointHint_LEAVING
 	case roster.HintLoading:
 		k = peerpb.EndpointHint_LOADING
+	case roster.HintWeights:
+		k = peerpb.EndpointHint_WEIGHTS
 	}
 	return &peerpb.EndpointHint{
+		Model: string(h.Model), Version: string(h.Version),
 		Endpoint: string(h.Endpoint), Incarnation: string(h.Incarnation), Kind: k, AgeMs: h.Age.Milliseconds(),
 	}
 }
--- a/internal/member/peer/options.go
+++ b/internal/member/peer/options.go
@@ -55,6 +55,8 @@
 	Table func(ctx context.Context, after qm.Offset) (snapshot []byte, offset qm.Offset, err error)
 	// Offset returns the offset up to which this router has applied the configuration; nil means that of the table on the board.
 	Offset func() qm.Offset
+	// Loads takes the load of another router and returns the own one; nil if none is counted.
+	Loads func(*peerpb.LoadShare) *peerpb.LoadShare
 	// Grant lends shares of the limits of teams whose home this router is.
 	Grant func(context.Context, *peerpb.BorrowRequest) (*peerpb.BorrowResponse, error)
 
--- a/internal/member/peer/peer.go
+++ b/internal/member/peer/peer.go
@@ -262,12 +262,15 @@
 	h := roster.Hint{
 		Endpoint: qm.EndpointID(w.GetEndpoint()), Incarnation: qm.Incarnation(w.GetIncarnation()),
 		Kind: roster.HintFailed, Age: time.Duration(w.GetAgeMs()) * time.Millisecond,
+		Model: qm.ModelID(w.GetModel()), Version: qm.VersionID(w.GetVersion()),
 	}
 	switch w.GetKind() {
 	case peerpb.EndpointHint_LEAVING:
 		h.Kind = roster.HintLeaving
 	case peerpb.EndpointHint_LOADING:
 		h.Kind = roster.HintLoading
+	case peerpb.EndpointHint_WEIGHTS:
+		h.Kind = roster.HintWeights
 	}
 	if m, ok := p.member(qm.InstanceID(h.Endpoint)); ok {
 		if h.Kind == roster.HintFailed && m.State != qm.Suspect && h.Age < roster.HintValidity {
--- a/internal/member/peer/server.go
+++ b/internal/member/peer/server.go
@@ -58,3 +58,11 @@
 	}
 	return p.opts.Grant(ctx, q)
 }
+
+// TradeLoads takes the load of another router and returns the own one.
+func (p *Peer) TradeLoads(_ context.Context, q *peerpb.LoadShare) (*peerpb.LoadShare, error) {
+	if p.opts.Loads == nil {
+		return nil, twirp.Unavailable.Error("trade loads: this router does not count its load")
+	}
+	return p.opts.Loads(q), nil
+}
--- a/internal/member/roster/endpoint.go
+++ b/internal/member/roster/endpoint.go
@@ -19,12 +19,19 @@
 	// failures counts failures since the last success.
 	failures int
 	probing  bool
+	// failedAt is the time of the newest evidence of a failure that came from or went to peers.
+	failedAt time.Time
 	// loadingUntil is when an endpoint that loads weights is expected to take work again.
 	loadingUntil time.Time
-	usedAt       time.Time
-	polledAt     time.Time
+	// saidAt is when the endpoint itself named its weights last.
+	saidAt   time.Time
+	usedAt   time.Time
+	polledAt time.Time
 }
 
+// listLag is the age of what the instance list says of an endpoint. What the endpoint itself has said is newer for so long.
+const listLag = 2500 * time.Millisecond
+
 func (e *entry) state() qm.MemberState {
 	switch {
 	case e.listedLeaving, e.saidLeaving:
@@ -53,7 +60,7 @@
 		e.listedLeaving = l.State == qm.Leaving
 		v := *e.view
 		v.ID, v.Kind, v.Group, v.Address, v.DataCentre = l.ID, l.Kind, l.Group, l.Address, l.DataCentre
-		if l.ListedAt.After(v.ListedAt) {
+		if l.ListedAt.After(v.ListedAt) && time.Since(e.saidAt) > listLag {
 			if l.Version != v.Version {
 				e.loadingUntil = time.Time{}
 			}
@@ -142,6 +149,9 @@
 // decides whether the endpoint is suspect.
 func (r *Roster) Failed(id qm.EndpointID) {
 	r.update(id, "", func(e *entry) {
+		if time.Now().Before(e.loadingUntil) {
+			return // its runs may be cut
+		}
 		e.failures++
 		if e.failures >= FailuresToSuspect {
 			r.suspect(e)
@@ -165,21 +175,39 @@
 	r.update(id, inc, func(e *entry) { r.leaving(e) })
 }
 
+// SetLoads takes the estimated work at all endpoints; those that are not named have none.
+func (r *Roster) SetLoads(loads map[qm.EndpointID]qm.Load) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	for id, e := range r.endpoints {
+		v := *e.view
+		l := loads[id]
+		l.Slots = v.Load.Slots
+		v.Load, v.ReportedAt = l, now
+		r.setEntry(e, &v)
+	}
+	r.publish()
+}
+
 // SawVersion tells that an endpoint answered with a version of a model. Its next list entry goes before it.
 func (r *Roster) SawVersion(id qm.EndpointID, model qm.ModelID, version qm.VersionID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	e := r.endpoints[id]
-	if e == nil || e.view.Models[model] == version {
-		return
+	if e := r.endpoints[id]; e != nil && e.view.Models[model] != version {
+		r.sawVersion(e, model, version)
 	}
+}
+
+// sawVersion takes a version that an endpoint has. The caller holds r.mu.
+func (r *Roster) sawVersion(e *entry, model qm.ModelID, version qm.VersionID) {
 	v := *e.view
 	v.Models = maps.Clone(v.Models)
 	if v.Models == nil {
 		v.Models = map[qm.ModelID]qm.VersionID{}
 	}
 	v.Models[model] = version
-	e.loadingUntil = time.Time{}
+	e.loadingUntil, e.saidAt = time.Time{}, time.Now()
 	v.Version, v.ListedAt = qm.JoinVersions(v.Models), time.Now()
 	r.setEntry(e, &v)
 	r.publish()
--- a/internal/member/roster/hint.go
+++ b/internal/member/roster/hint.go
@@ -15,6 +15,8 @@
 	HintFailed
 	// HintLoading means that the endpoint is about to load weights.
 	HintLoading
+	// HintWeights means that the endpoint has a version of a model.
+	HintWeights
 )
 
 // LoadingTime is how long an endpoint that loads weights gets no work, unless it says earlier that it has them: its runs end first, and
@@ -30,6 +32,9 @@
 	Incarnation qm.Incarnation
 	Kind        HintKind
 	Age         time.Duration
+	// Model and Version are set for HintWeights.
+	Model   qm.ModelID
+	Version qm.VersionID
 }
 
 type timedHint struct {
@@ -37,8 +42,8 @@
 	at   time.Time
 }
 
-// loadingSlack is the difference in time up to which two hints are about the same loading.
-const loadingSlack = time.Second
+// hintSlack is the difference in time up to which two hints are about the same event.
+const hintSlack = time.Second
 
 // Loading tells that an endpoint is about to load weights.
 func (r *Roster) Loading(id qm.EndpointID) {
@@ -48,8 +53,25 @@
 	})
 }
 
+// Loaded tells that an endpoint has said that it has a version of a model, and passes it on.
+func (r *Roster) Loaded(id qm.EndpointID, model qm.ModelID, version qm.VersionID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.endpoints[id]
+	if e == nil || e.view.Models[model] == version {
+		return
+	}
+	r.sawVersion(e, model, version)
+	r.hints = append(r.hints, timedHint{Hint{
+		Endpoint: id, Incarnation: e.view.Incarnation, Kind: HintWeights, Model: model, Version: version,
+	}, time.Now()})
+}
+
 // note keeps own evidence for the peers. The caller holds r.mu.
 func (r *Roster) note(e *entry, k HintKind) {
+	if k == HintFailed {
+		e.failedAt = time.Now()
+	}
 	h := timedHint{Hint{Endpoint: e.view.ID, Incarnation: e.view.Incarnation, Kind: k}, time.Now()}
 	r.hints = append(r.hints, h)
 	if over := len(r.hints) - hintsKept; over > 0 {
@@ -85,6 +107,12 @@
 		return false
 	}
 	switch h.Kind {
+	case HintWeights:
+		fresh := e.view.Models[h.Model] != h.Version && time.Since(e.view.ListedAt) > h.Age
+		if fresh {
+			r.sawVersion(e, h.Model, h.Version)
+		}
+		return fresh
 	case HintLeaving:
 		if e.saidLeaving {
 			return false
@@ -98,16 +126,19 @@
 		return true
 	case HintLoading:
 		until := time.Now().Add(LoadingTime - h.Age)
-		if !until.After(e.loadingUntil.Add(loadingSlack)) {
+		if !until.After(e.loadingUntil.Add(hintSlack)) {
 			return false
 		}
 		e.loadingUntil = until
 		r.refresh(e)
 		return true
 	case HintFailed:
-		if e.suspect || e.probing {
+		// The same evidence comes back by several ways; only what is newer is worth another probe.
+		at := time.Now().Add(-h.Age)
+		if e.suspect || e.probing || !at.After(e.failedAt.Add(hintSlack)) {
 			return false
 		}
+		e.failedAt = at
 		r.probe(e)
 		return true
 	}
--- a/internal/route/exchg/decide.go
+++ b/internal/route/exchg/decide.go
@@ -76,7 +76,7 @@
 		return finish, false
 	}
 	switch s.err.Code {
-	case qm.CodeUnreached, qm.CodeEndpointFull, qm.CodeMisdirected, qm.CodeEndpoint, qm.CodeTimeout:
+	case qm.CodeUnreached, qm.CodeEndpointFull, qm.CodeMisdirected, qm.CodeEndpoint, qm.CodeAnsweredError, qm.CodeTimeout:
 		return again, s.tally.arrivals > 0
 	}
 	return finish, false
--- a/internal/route/exchg/engines.go
+++ b/internal/route/exchg/engines.go
@@ -5,44 +5,75 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	qm "quetzalmount.dev/quetzalmount"
 	"quetzalmount.dev/quetzalmount/internal/client/pool"
 )
 
-// newerWeight is how much likelier an engine with the wanted weights is chosen than one with older ones while a version rolls out:
-// answers on older weights are worth less, but a few engines can't carry the load of all.
-const newerWeight = 3
+// newerWait is the part of the objective up to which a request waits longer for an engine with the wanted weights than for one with
+// older ones: an answer on older weights is worth less, but one that is late is worth less still.
+const newerWait = 0.5
 
-// version chooses the weights for an attempt among those that the candidates have.
-func (r *Runner) version(x *qm.Exchange, candidates []*qm.Endpoint, rnd *rand.Rand) qm.VersionID {
-	weights, _ := r.deps.Board.Weights.Load()
-	wanted := weights[x.Model].Version
-	var total int
-	var chosen qm.VersionID
-	for _, e := range candidates {
-		v, ok := e.Models[x.Model]
-		if !ok || e.State != qm.Live {
-			continue
-		}
-		w := 1
-		if v == wanted {
-			w = newerWeight
+// placeEngine places a request at an engine with the wanted weights if one is expected to be quick enough, else at any engine. It
+// returns the version that the engine has.
+func (t *run) placeEngine(q *qm.PlaceRequest, candidates []*qm.Endpoint, now time.Time, rnd *rand.Rand) (qm.Decision, qm.VersionID, bool) {
+	weights, _ := t.r.deps.Board.Weights.Load()
+	wanted := weights[t.x.Model]
+	candidates = t.r.allowed(candidates, t.x.Model, wanted, now)
+	newest := having(candidates, t.x.Model, wanted.Version)
+	if len(newest) > 0 {
+		q.Spans = spans(t.x, wanted.Version)
+		d, ok := t.r.deps.Engines.Place(q, newest, now, rnd)
+		limit := time.Duration(newerWait * float64(t.x.Route.Objective))
+		if ok && (d.Endpoint.State == qm.Live && d.Expected <= limit || len(newest) == len(candidates)) {
+			return d, wanted.Version, true
 		}
-		total += w
-		if rnd.IntN(total) < w {
-			chosen = v
+	}
+	v := pickVersion(candidates, t.x.Model, rnd)
+	q.Spans = spans(t.x, v)
+	d, ok := t.r.deps.Engines.Place(q, having(candidates, t.x.Model, v), now, rnd)
+	return d, v, ok
+}
+
+// allowed returns the candidates whose weights are not too old to be used.
+func (r *Runner) allowed(candidates []*qm.Endpoint, model qm.ModelID, wanted qm.Weights, now time.Time) []*qm.Endpoint {
+	if r.deps.OldWeights <= 0 {
+		return candidates
+	}
+	least := wanted.Least(now, r.deps.OldWeights)
+	if least == 0 {
+		return candidates
+	}
+	var out []*qm.Endpoint
+	for _, e := range candidates {
+		if qm.VersionNumber(e.Models[model]) >= least {
+			out = append(out, e)
 		}
 	}
-	if total == 0 {
-		for _, e := range candidates {
-			if v, ok := e.Models[x.Model]; ok {
-				return v
+	return out
+}
+
+// pickVersion returns the version of a random engine, of one that takes work if there is any, so that versions get requests in
+// proportion to their engines.
+func pickVersion(candidates []*qm.Endpoint, model qm.ModelID, rnd *rand.Rand) qm.VersionID {
+	var chosen, spare qm.VersionID
+	total := 0
+	for _, e := range candidates {
+		v, ok := e.Models[model]
+		switch {
+		case !ok:
+		case e.State != qm.Live:
+			spare = v
+		default:
+			if total++; rnd.IntN(total) == 0 {
+				chosen = v
 			}
 		}
 	}
+	if total == 0 {
+		return spare
+	}
 	return chosen
 }
 
@@ -57,25 +88,14 @@
 	return out
 }
 
-// spans returns the keys of the prompt's steps. They cover the model, the weights and, for isolated teams, the team, so that equal
-// keys mean cache entries that may be shared.
+// spans returns the keys of the prompt's steps on engines with a version.
 func spans(x *qm.Exchange, v qm.VersionID) []qm.PrefixSpan {
-	h := xxhash.New()
-	write := func(s string) {
-		_, _ = h.WriteString(s)
-		_, _ = h.Write([]byte{0})
-	}
-	write(string(x.Model))
-	write(string(v))
-	if x.Isolated {
-		write(string(x.Team))
-	}
+	salt := x.Salt(v)
 	out := make([]qm.PrefixSpan, 0, len(x.Steps))
 	end := qm.Tokens(0)
 	for _, s := range x.Steps {
-		write(s.ID)
 		end += s.Tokens
-		out = append(out, qm.PrefixSpan{Key: qm.PrefixKey(h.Sum64()), End: end})
+		out = append(out, qm.PrefixSpan{Key: qm.CacheKey(x.Model, salt, s.ID), End: end})
 	}
 	return out
 }
--- a/internal/route/exchg/exchg.go
+++ b/internal/route/exchg/exchg.go
@@ -42,8 +42,10 @@
 	Health            qm.Health
 	Ledger            *retry.Ledger
 	Observer          Observer
-	Meter             *meter.Meter
-	Log               logr.Logger
+	// OldWeights is how long after new weights were named engines with older ones may be used, 0 for ever.
+	OldWeights time.Duration
+	Meter      *meter.Meter
+	Log        logr.Logger
 }
 
 // Observer learns from the answers of endpoints.
@@ -176,7 +178,7 @@
 	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errGivenUp), errors.Is(err, errCaller):
 		// The caller left; the endpoint is not to blame.
 		p.attempt.Abandoned()
-	case e.Code == qm.CodeEndpointFull, e.Code == qm.CodeMisdirected:
+	case e.Code == qm.CodeEndpointFull, e.Code == qm.CodeMisdirected, e.Code == qm.CodeAnsweredError:
 		p.attempt.Abandoned()
 		t.exclude = append(t.exclude, p.decision.Endpoint.ID)
 	default:
@@ -229,7 +231,7 @@
 	}
 	if a.Status >= 500 && t.x.Route.Kind.Repeats() {
 		t.failure = &whole{a, body}
-		return qm.Fail(qm.CodeEndpoint, "answer", p.decision.Endpoint.Address, errors.Errorf("status %d", a.Status))
+		return qm.Fail(qm.CodeAnsweredError, "answer", p.decision.Endpoint.Address, errors.Errorf("status %d", a.Status))
 	}
 	if t.begun {
 		return qm.Fail(qm.CodeEndpoint, "resume", p.decision.Endpoint.Address, errors.Errorf("status %d", a.Status))
@@ -292,19 +294,20 @@
 	rnd := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	candidates := t.r.usable(t.x, t.exclude)
 	placer := t.r.deps.Services
-	q := &qm.PlaceRequest{Team: t.x.Team, Model: t.x.Model, PromptTokens: t.x.PromptTokens, Exclude: t.exclude}
+	q := &qm.PlaceRequest{Team: t.x.Team, Model: t.x.Model, PromptTokens: t.x.PromptTokens, Exclude: t.exclude, Once: !t.x.Route.Kind.Repeats()}
 	offer := qm.Offer{LastEvent: t.last, Urgency: t.x.Priority}
+	var d qm.Decision
+	var ok bool
 	if t.x.Model != "" {
 		placer = t.r.deps.Engines
-		offer.Version = t.r.version(t.x, candidates, rnd)
-		candidates = having(candidates, t.x.Model, offer.Version)
-		q.Spans = spans(t.x, offer.Version)
+		d, offer.Version, ok = t.placeEngine(q, candidates, now, rnd)
+	} else {
+		d, ok = placer.Place(q, candidates, now, rnd)
 	}
-	d, ok := placer.Place(q, candidates, now, rnd)
 	if !ok {
 		return nil, qm.Refuse(qm.CodeNoEndpoint, "place", "no endpoint of group %s can take the request now", t.x.Group).After(noEndpointRetry)
 	}
-	offer.Endpoint = d.Endpoint
+	offer.Endpoint, offer.Source = d.Endpoint, d.Source
 	placer.Dispatched(q, d, now)
 	return &placed{
 		placer: placer, request: q, decision: d, offer: offer, attempt: t.r.deps.Health.Begin(d.Endpoint.ID),
--- a/internal/route/place/place.go
+++ b/internal/route/place/place.go
@@ -115,9 +115,34 @@
 	if e.stamp == p.stamp {
 		d.Hit = qm.Tokens(e.hit)
 	}
+	d.Source = p.source(engines, at, d.Hit, rnd)
 	return d, true
 }
 
+// leastFetch is the number of tokens that another engine must be expected to hold beyond those of the chosen one to be worth a
+// transfer.
+const leastFetch = 64
+
+// source returns the live engine that is expected to hold the most of the prompt, if that is more than the chosen one at a position
+// holds. Equal ones are chosen by lot, so that the links of one engine do not carry all transfers of a hot prefix.
+func (p *Expected) source(engines []*qm.Endpoint, chosen int, hit qm.Tokens, rnd *rand.Rand) *qm.Endpoint {
+	var best *qm.Endpoint
+	most, ties := float64(hit)+leastFetch, 0
+	for i, ep := range engines {
+		e := p.fleet.at(i)
+		switch {
+		case i == chosen || ep.State != qm.Live || e.stamp != p.stamp || e.hit < most:
+		case e.hit > most:
+			best, most, ties = ep, e.hit, 1
+		default:
+			if ties++; rnd.IntN(ties) == 0 {
+				best = ep
+			}
+		}
+	}
+	return best
+}
+
 // trace computes the expected hit of every engine that the table names for the prompt. An engine that holds a step holds
 // the steps before it too, so the steps are walked from the longest on.
 func (p *Expected) trace(r *qm.PlaceRequest, now sketch.Tick) {
--- a/internal/state/roll/roll.go
+++ b/internal/state/roll/roll.go
@@ -1,11 +1,13 @@
-// Package roll decides which engines are ordered to load new weights, and when.
+// Package roll decides which engines load new weights, and when.
 //
-// The weights that are named last are the goal; versions in between are skipped. Only a part of the engines load at the same time,
-// since the weight store slows down when many do and the others have to carry the load meanwhile. An order whose fate is not known is
-// looked into before it is given again.
+// The weights that are named last are the goal; versions in between are skipped, and engines with the oldest weights come first, since
+// every version has a time after which none of the older ones may be used. An engine is emptied before it loads, while others load, so
+// that the weight store never waits. Only a part of the engines is emptied or loads at the same time, because the others carry the load.
+// An order whose fate is not known is looked into before it is given again.
 package roll
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -14,84 +16,147 @@
 )
 
 const (
-	// atOnceShare is the part of the engines of a model that load at the same time: a sixth to a fifth, as the deployments' weight
-	// stores serve at full speed.
-	atOnceShare = 5
-	// leastAtOnce is the least number of engines that load at the same time.
-	leastAtOnce = 2
-	// loadTime is how long an accepted order is waited for before it is looked into: runs end first, for seconds, and loading takes
-	// two seconds and longer.
-	loadTime = 6 * time.Second
-	// lookTime is how long an order without an answer is waited for before it is looked into.
-	lookTime = time.Second
+	// loadingShare is the part of the engines of a model that load at the same time: one in four. The deployments' weight stores
+	// serve one in five to six at full speed; a few more keep the store busy while the end of a load is noticed.
+	loadingShare = 4
+	// leastLoading is the least number of engines that load at the same time.
+	leastLoading = 3
+	// emptyTime is how long an engine gets no new requests before it loads. Most runs end in that time.
+	emptyTime = 500 * time.Millisecond
+	// longestEmpty is how long an engine is emptied at most while requests run on it that can't be continued elsewhere.
+	longestEmpty = 1500 * time.Millisecond
+	// loadTime is the least time that a load takes, lookEvery the time between two looks at whether it has ended.
+	loadTime  = 1900 * time.Millisecond
+	lookEvery = 200 * time.Millisecond
+	// lostTime is the time after which an order that is neither carried out nor under way is given again.
+	lostTime = time.Second
 )
 
-// Order is one order to an engine.
+// Step is what is to be done with an engine now.
+type Step int
+
+// Steps of a load.
+const (
+	// Empty tells all routers to send the engine no more requests.
+	Empty Step = iota
+	// Load gives the order.
+	Load
+	// Look asks the engine whether it has loaded.
+	Look
+)
+
+// Order is one step of the load of one engine.
 type Order struct {
+	Step     Step
 	Endpoint *qm.Endpoint
 	Model    qm.ModelID
-	Weights  qm.Weights
+	// Number is the order of the version that the engine is to load.
+	Number int64
+	// Cut tells that the runs that are left may be cut, since each can be continued elsewhere.
+	Cut bool
 }
 
-// Fate is what is known of an order that was given.
+// Fate is what is known of an order.
 type Fate int
 
 // Fates of an order.
 const (
-	// Accepted orders are being carried out.
-	Accepted Fate = iota
+	// Loading orders are being carried out.
+	Loading Fate = iota
+	// Ended orders were carried out, or there is nothing to carry out.
+	Ended
 	// Lost orders got no answer: they may be carried out, now or later.
 	Lost
-	// Refused orders were not accepted.
-	Refused
 )
 
-// given is an order that was given.
-type given struct {
-	version qm.VersionID
+// phase is where an engine is on its way to new weights.
+type phase struct {
+	loading bool
+	weights qm.Weights
 	inc     qm.Incarnation
-	until   time.Time
+	// latest is when an engine that is emptied loads although it still runs requests.
+	latest time.Time
+	// next is when the next step is due; busy tells that a step is under way.
+	next time.Time
+	busy bool
 }
 
 // Plan is the state of the roll-outs of one holder. It is not safe for concurrent use.
 type Plan struct {
-	orders map[qm.EndpointID]given
+	phases map[qm.EndpointID]*phase
 }
 
-// New returns a plan in which no order was given.
-func New() *Plan { return &Plan{orders: make(map[qm.EndpointID]given)} }
+// New returns a plan in which no engine loads.
+func New() *Plan { return &Plan{phases: make(map[qm.EndpointID]*phase)} }
 
-// Next returns the orders to give now. Each must be followed by Gave.
+// Next returns the steps that are due. Each but Empty must be followed by Did.
 func (p *Plan) Next(endpoints []*qm.Endpoint, wanted map[qm.ModelID]qm.Weights, now time.Time) []Order {
-	p.settle(endpoints, now)
+	p.settle(endpoints)
 	var out []Order
 	for _, model := range models(wanted) {
-		w := wanted[model]
-		var behind []*qm.Endpoint
-		engines, loading := 0, 0
-		for _, e := range endpoints {
-			has, ok := e.Models[model]
-			if !ok || e.State == qm.Leaving {
-				continue
-			}
-			engines++
-			switch _, ordered := p.orders[e.ID]; {
-			case ordered:
-				loading++
-			case has != w.Version:
-				behind = append(behind, e)
+		out = append(out, p.model(endpoints, model, wanted[model], now)...)
+	}
+	return out
+}
+
+// model returns the steps for the engines of one model.
+func (p *Plan) model(endpoints []*qm.Endpoint, model qm.ModelID, w qm.Weights, now time.Time) []Order {
+	var behind []*qm.Endpoint
+	var out []Order
+	engines, loading, emptying := 0, 0, 0
+	for _, e := range endpoints {
+		has, ok := e.Models[model]
+		if !ok || e.State == qm.Leaving {
+			continue
+		}
+		engines++
+		switch ph := p.phases[e.ID]; {
+		case ph == nil && has != w.Version:
+			behind = append(behind, e)
+		case ph == nil:
+		case ph.loading:
+			loading++
+			if !ph.busy && !now.Before(ph.next) {
+				ph.busy = true
+				out = append(out, Order{Step: Look, Endpoint: e, Model: model, Number: ph.weights.Number})
 			}
+		default:
+			emptying++
+		}
+	}
+	limit := max(leastLoading, engines/loadingShare)
+	for _, e := range endpoints {
+		ph := p.phases[e.ID]
+		if _, ok := e.Models[model]; !ok || ph == nil || ph.loading || loading >= limit || now.Before(ph.next) {
+			continue
+		}
+		if e.Load.Once > 0 && now.Before(ph.latest) {
+			continue
 		}
-		// Engines that take no work anyway come first.
-		slices.SortStableFunc(behind, func(a, b *qm.Endpoint) int { return rank(a) - rank(b) })
-		room := max(leastAtOnce, engines/atOnceShare) - loading
-		for _, e := range behind[:max(0, min(room, len(behind)))] {
-			out = append(out, Order{Endpoint: e, Model: model, Weights: w})
+		loading, emptying = loading+1, emptying-1
+		ph.loading, ph.busy, ph.weights = true, true, w
+		out = append(out, Order{Step: Load, Endpoint: e, Model: model, Number: w.Number, Cut: e.Load.Once == 0})
+	}
+	slices.SortStableFunc(behind, func(a, b *qm.Endpoint) int { return compare(a, b, model) })
+	for _, e := range behind {
+		if loading+emptying >= limit+limit/2 {
+			break
 		}
+		emptying++
+		p.phases[e.ID] = &phase{weights: w, inc: e.Incarnation, next: now.Add(emptyTime), latest: now.Add(longestEmpty)}
+		out = append(out, Order{Step: Empty, Endpoint: e, Model: model, Number: w.Number})
 	}
 	return out
 }
 
+// compare orders engines by their weights, oldest first, and among equals those first that take no work anyway.
+func compare(a, b *qm.Endpoint, model qm.ModelID) int {
+	if c := cmp.Compare(qm.VersionNumber(a.Models[model]), qm.VersionNumber(b.Models[model])); c != 0 {
+		return c
+	}
+	return cmp.Compare(rank(a), rank(b))
+}
+
 func rank(e *qm.Endpoint) int {
 	if e.State == qm.Live {
 		return 1
@@ -108,16 +173,16 @@
 	return out
 }
 
-// settle forgets orders that were carried out, whose engine is gone or restarted, or that were waited for long enough.
-func (p *Plan) settle(endpoints []*qm.Endpoint, now time.Time) {
+// settle forgets engines that have the weights that they were to load, that are gone, or that have restarted.
+func (p *Plan) settle(endpoints []*qm.Endpoint) {
 	byID := make(map[qm.EndpointID]*qm.Endpoint, len(endpoints))
 	for _, e := range endpoints {
 		byID[e.ID] = e
 	}
-	for id, g := range p.orders {
+	for id, ph := range p.phases {
 		e := byID[id]
-		if e == nil || e.Incarnation != g.inc || has(e, g.version) || now.After(g.until) {
-			delete(p.orders, id)
+		if e == nil || e.Incarnation != ph.inc || has(e, ph.weights.Version) {
+			delete(p.phases, id)
 		}
 	}
 }
@@ -131,14 +196,22 @@
 	return false
 }
 
-// Gave tells what became of an order.
-func (p *Plan) Gave(o Order, f Fate, now time.Time) {
-	wait := lookTime
-	if f == Accepted {
-		wait = loadTime
+// Did tells what became of a step.
+func (p *Plan) Did(o Order, f Fate, now time.Time) {
+	ph := p.phases[o.Endpoint.ID]
+	if ph == nil {
+		return
+	}
+	ph.busy = false
+	switch {
+	case f == Ended:
+		delete(p.phases, o.Endpoint.ID)
+	case f == Lost:
+		// Another order is given after a look; the precondition of both lets only one be carried out.
+		ph.loading, ph.next, ph.latest = false, now.Add(lostTime), now.Add(lostTime)
+	case o.Step == Load:
+		ph.next = now.Add(loadTime)
+	default:
+		ph.next = now.Add(lookEvery)
 	}
-	p.orders[o.Endpoint.ID] = given{version: o.Weights.Version, inc: o.Endpoint.Incarnation, until: now.Add(wait)}
 }
-
-// Loading returns the number of orders that are being carried out as far as is known.
-func (p *Plan) Loading() int { return len(p.orders) }
--- a/ports.go
+++ b/ports.go
@@ -52,6 +52,8 @@
 	PromptTokens Tokens
 	// Exclude lists endpoints that refused or failed this request already.
 	Exclude []EndpointID
+	// Once tells that the request can't be continued at another endpoint.
+	Once bool
 }
 
 // Decision is the outcome of a placement.
@@ -62,6 +64,8 @@
 	Expected time.Duration
 	// Hit is the number of prompt tokens expected to be in the engine's cache.
 	Hit Tokens
+	// Source is another engine that is expected to hold more of the prompt, nil if there is none.
+	Source *Endpoint
 	// Reason names the rule that decided, for logs and metrics.
 	Reason string
 }
--- a/route.go
+++ b/route.go
@@ -1,6 +1,7 @@
 package quetzalmount
 
 import (
+	"strconv"
 	"strings"
 	"time"
 )
@@ -119,4 +120,41 @@
 	// Offset is the position of the record that named them, SeenAt when this router read it.
 	Offset Offset
 	SeenAt time.Time
+	// Before are the weights that were named earlier, newest first, at most keptWeights of them.
+	Before []Weights
+}
+
+// keptWeights bounds the earlier weights that are remembered. They are named seconds apart and matter for some ten seconds.
+const keptWeights = 16
+
+// After returns the weights that replace w, with w remembered.
+func (w Weights) After(older Weights) Weights {
+	if older.Number == 0 {
+		return w
+	}
+	before := append([]Weights{{Version: older.Version, Number: older.Number, Offset: older.Offset, SeenAt: older.SeenAt}}, older.Before...)
+	w.Before = before[:min(len(before), keptWeights)]
+	return w
+}
+
+// Least returns the number of the oldest weights that may still be used when older ones may be used for age after new ones were named.
+func (w Weights) Least(now time.Time, age time.Duration) int64 {
+	if now.Sub(w.SeenAt) > age {
+		return w.Number
+	}
+	for _, b := range w.Before {
+		if now.Sub(b.SeenAt) > age {
+			return b.Number
+		}
+	}
+	return 0
+}
+
+// VersionNumber returns the order of a version whose id is a number, 0 for others.
+func VersionNumber(v VersionID) int64 {
+	n, err := strconv.ParseInt(string(v), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return n
 }
--- a/views.go
+++ b/views.go
@@ -73,6 +73,8 @@
 type Load struct {
 	// Running and Waiting count requests, Slots is the batch size.
 	Running, Waiting, Slots int
+	// Once is the number of running requests that can't be continued at another engine.
+	Once int
 	// QueuedTokens is the prompt tokens that wait for prefill.
 	QueuedTokens Tokens
 	// CapacityBlocks, UsedBlocks and EvictedBlocks describe the prefix cache; EvictedBlocks only grows.
