Fetch cached prefixes from engines and the cache store

Cause: shared parts of prompts were read again on every engine and after every eviction, which is priced and takes prefill time.

--- a/exchange.go
+++ b/exchange.go
@@ -95,6 +95,8 @@
 	LastEvent string
 	// Source is another endpoint from whose cache the endpoint fetches what it lacks of the prompt, nil for none.
 	Source *Endpoint
+	// Store is the cache store to which the endpoint sends what it reads of the prompt, nil for none.
+	Store *Endpoint
 	// Urgency is the rank that the endpoint gives the exchange, from 0 to 9, 0 first.
 	Urgency int
 }
--- a/internal/entry/opaque/opaque.go
+++ b/internal/entry/opaque/opaque.go
@@ -157,7 +157,8 @@
 		// Tells the caller that the request did not run, so that it may send it again.
 		status = http.StatusServiceUnavailable
 	}
-	if closing {
+	if closing || r.ContentLength < 0 {
+		// What is left of the request must not be taken for another one.
 		w.Header().Set("Connection", "close")
 	}
 	h.deps.Codec.Refuse(w.Header(), r, e)
--- a/internal/entry/strict/strict.go
+++ b/internal/entry/strict/strict.go
@@ -27,7 +27,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c, capture: true}, nil
+	return &conn{Conn: c}, nil
 }
 
 // conn keeps the bytes that were read since the body of the last request ended.
@@ -36,10 +36,10 @@
 
 	mu   sync.Mutex
 	head []byte
-	// capture is false while the body of a request is read; body is the number of its bytes that are still to come, -1 if it has no
-	// length.
-	capture bool
+	// body is the number of bytes of the current request's body that are still to come. chunked is true while a body without a length
+	// is read, whose bytes are not kept.
 	body    int64
+	chunked bool
 }
 
 // Read implements net.Conn.
@@ -53,14 +53,12 @@
 
 // take sorts bytes into the body of the current request and the head of the next. The caller holds mu.
 func (c *conn) take(p []byte) {
-	if !c.capture {
-		if c.body < 0 {
-			return
-		}
-		k := min(c.body, int64(len(p)))
-		c.body -= k
-		p = p[k:]
+	if c.chunked {
+		return
 	}
+	k := min(c.body, int64(len(p)))
+	c.body -= k
+	p = p[k:]
 	if room := keptBytes - len(c.head); room > 0 {
 		c.head = append(c.head, p[:min(room, len(p))]...)
 	}
@@ -75,16 +73,17 @@
 		return nil
 	}
 	head, rest := c.head[:end+4], c.head[end+4:]
-	c.head, c.capture, c.body = nil, false, length
+	c.head, c.body, c.chunked = nil, max(length, 0), length < 0
 	c.take(rest)
 	return head
 }
 
-// end tells that the request was answered; what is read now belongs to the next one.
+// end tells that a request was answered. A body without a length must have been read by then; of one with a length the rest may
+// still come.
 func (c *conn) end() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.capture = true
+	c.chunked = false
 }
 
 type key struct{}
@@ -98,7 +97,7 @@
 }
 
 // Begin returns the length of the head of a request and an error if its framing is ambiguous. The caller calls end once the
-// request was answered.
+// request was answered, with a body without a length read whole or the connection to be closed.
 func Begin(r *http.Request) (length int, end func(), err error) {
 	c, ok := r.Context().Value(key{}).(*conn)
 	if !ok {
--- a/internal/route/exchg/exchg.go
+++ b/internal/route/exchg/exchg.go
@@ -42,6 +42,10 @@
 	Health            qm.Health
 	Ledger            *retry.Ledger
 	Observer          Observer
+	// DataCentre is that of this router; of several cache stores the one there is used.
+	DataCentre qm.DataCentre
+	// StoreAway reports whether the cache store can't be reached.
+	StoreAway func() bool
 	// OldWeights is how long after new weights were named engines with older ones may be used, 0 for ever.
 	OldWeights time.Duration
 	Meter      *meter.Meter
@@ -112,7 +116,10 @@
 	// Expected is the time to the first token that placement expected, Took what the attempt took, both in milliseconds.
 	Expected, Took float64
 	Version        qm.VersionID `json:",omitempty"`
-	Outcome        string
+	// Prompt is the tokens of the prompt, Hit those that were expected in the cache, Source the endpoint to fetch others from.
+	Prompt, Hit qm.Tokens     `json:",omitempty"`
+	Source      qm.EndpointID `json:",omitempty"`
+	Outcome     string
 }
 
 // attempts tries one endpoint after the other.
@@ -160,10 +167,15 @@
 	err = t.send(ctx, p)
 	p.done(time.Now())
 	t.tally.add(err)
-	t.path = append(t.path, visit{
+	v := visit{
 		Endpoint: p.decision.Endpoint.ID, Address: p.decision.Endpoint.Address, Reason: p.decision.Reason,
 		Expected: millis(p.decision.Expected), Took: millis(time.Since(began)), Version: p.offer.Version, Outcome: outcomeOf(err),
-	})
+		Prompt: p.request.PromptTokens, Hit: p.decision.Hit,
+	}
+	if p.decision.Source != nil {
+		v.Source = p.decision.Source.ID
+	}
+	t.path = append(t.path, v)
 	t.report(ctx, p, err)
 	return err
 }
@@ -300,6 +312,9 @@
 	var ok bool
 	if t.x.Model != "" {
 		placer = t.r.deps.Engines
+		if routes, ok := t.r.deps.Board.Routes.Load(); ok && !t.r.deps.StoreAway() {
+			q.Store = routes.Store(t.r.deps.DataCentre)
+		}
 		d, offer.Version, ok = t.placeEngine(q, candidates, now, rnd)
 	} else {
 		d, ok = placer.Place(q, candidates, now, rnd)
@@ -308,6 +323,9 @@
 		return nil, qm.Refuse(qm.CodeNoEndpoint, "place", "no endpoint of group %s can take the request now", t.x.Group).After(noEndpointRetry)
 	}
 	offer.Endpoint, offer.Source = d.Endpoint, d.Source
+	if d.Save {
+		offer.Store = q.Store
+	}
 	placer.Dispatched(q, d, now)
 	return &placed{
 		placer: placer, request: q, decision: d, offer: offer, attempt: t.r.deps.Health.Begin(d.Endpoint.ID),
--- a/internal/route/place/fleet.go
+++ b/internal/route/place/fleet.go
@@ -253,6 +253,15 @@
 	return &f.engines[s], s, true
 }
 
+// hit returns the tokens of the current request that an engine is expected to hold.
+func (f *fleet) hit(id qm.EndpointID) float64 {
+	s, ok := f.byID[id]
+	if !ok {
+		return 0
+	}
+	return f.engines[s].hit
+}
+
 // known is like current, but takes over an engine that was not met before. A restarted router reads the events that
 // engines retain before it places its first request.
 func (f *fleet) known(
--- a/internal/route/place/place.go
+++ b/internal/route/place/place.go
@@ -116,9 +116,38 @@
 		d.Hit = qm.Tokens(e.hit)
 	}
 	d.Source = p.source(engines, at, d.Hit, rnd)
+	if r.Store != nil {
+		p.useStore(r, &d, tick)
+	}
 	return d, true
 }
 
+// useStore fetches from the store what no engine is expected to hold, and saves to it what it lacks.
+func (p *Expected) useStore(r *qm.PlaceRequest, d *qm.Decision, now sketch.Tick) {
+	slot := p.fleet.slot(r.Store.ID, now)
+	s := &p.fleet.engines[slot]
+	s.seen = now
+	if s.inc != r.Store.Incarnation {
+		s.renew(r.Store.Incarnation, "")
+	}
+	held := 0.0
+	if s.stamp == p.stamp {
+		held = s.hit
+	}
+	most := float64(d.Hit)
+	if d.Source != nil {
+		most = math.Max(most, p.fleet.hit(d.Source.ID))
+	}
+	if held >= most+leastFetch {
+		d.Source = r.Store
+	}
+	shared := qm.Tokens(0)
+	if n := len(r.Spans); n > 1 {
+		shared = r.Spans[n-2].End
+	}
+	d.Save = float64(shared) >= held+leastFetch
+}
+
 // leastFetch is the number of tokens that another engine must be expected to hold beyond those of the chosen one to be worth a
 // transfer.
 const leastFetch = 64
--- a/ports.go
+++ b/ports.go
@@ -54,6 +54,8 @@
 	Exclude []EndpointID
 	// Once tells that the request can't be continued at another endpoint.
 	Once bool
+	// Store is the cache store that engines can fetch from, nil if there is none.
+	Store *Endpoint
 }
 
 // Decision is the outcome of a placement.
@@ -64,8 +66,10 @@
 	Expected time.Duration
 	// Hit is the number of prompt tokens expected to be in the engine's cache.
 	Hit Tokens
-	// Source is another engine that is expected to hold more of the prompt, nil if there is none.
+	// Source is another engine, or the store, that is expected to hold more of the prompt, nil if there is none.
 	Source *Endpoint
+	// Save tells that the store is not expected to hold the shared part of the prompt.
+	Save bool
 	// Reason names the rule that decided, for logs and metrics.
 	Reason string
 }
--- a/route.go
+++ b/route.go
@@ -1,6 +1,7 @@
 package quetzalmount
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -54,8 +55,8 @@
 	Slots  int
 	Memory Tokens
 	Models []ModelID
-	// Store is the address of a cache store, empty for other services.
-	Store string
+	// Store is the cache store that the service is, nil for other services.
+	Store *Endpoint
 }
 
 // Bounds limit what a caller may send.
@@ -93,6 +94,20 @@
 	return nil, false
 }
 
+// Store returns the cache store to use in a data centre: one that is there if there is any, else the first by id, nil if there is
+// none.
+func (r *Routes) Store(dc DataCentre) *Endpoint {
+	var best *Endpoint
+	for _, g := range r.Groups {
+		switch s := g.Store; {
+		case s == nil:
+		case best == nil, s.DataCentre == dc && best.DataCentre != dc, (s.DataCentre == dc) == (best.DataCentre == dc) && s.ID < best.ID:
+			best = s
+		}
+	}
+	return best
+}
+
 // Choose returns the group for a point from 0 up to 1, in proportion to the weights of the shares.
 func (r *Route) Choose(point float64) (GroupID, bool) {
 	total := 0
@@ -137,6 +152,32 @@
 	return w
 }
 
+// SeenBefore returns w with the knowledge that the version with a number was named at a time or earlier.
+func (w Weights) SeenBefore(number int64, at time.Time) Weights {
+	switch {
+	case number > w.Number || number <= 0:
+	case number == w.Number:
+		if at.Before(w.SeenAt) {
+			w.SeenAt = at
+		}
+	default:
+		before := slices.Clone(w.Before)
+		i := slices.IndexFunc(before, func(b Weights) bool { return b.Number <= number })
+		switch {
+		case i >= 0 && before[i].Number == number:
+			if at.Before(before[i].SeenAt) {
+				before[i].SeenAt = at
+			}
+		case i >= 0:
+			before = slices.Insert(before, i, Weights{Number: number, SeenAt: at})
+		default:
+			before = append(before, Weights{Number: number, SeenAt: at})
+		}
+		w.Before = before[:min(len(before), keptWeights)]
+	}
+	return w
+}
+
 // Least returns the number of the oldest weights that may still be used when older ones may be used for age after new ones were named.
 func (w Weights) Least(now time.Time, age time.Duration) int64 {
 	if now.Sub(w.SeenAt) > age {
