Refuse requests that would be late and place over all versions

Cause: with a quarter of the engines dark every answer was late. Hints that an engine loads were taken after it had loaded, which left it without work for four seconds.

--- a/internal/member/roster/endpoint.go
+++ b/internal/member/roster/endpoint.go
@@ -23,10 +23,10 @@
 	failedAt time.Time
 	// loadingUntil is when an endpoint that loads weights is expected to take work again.
 	loadingUntil time.Time
-	// saidAt is when the endpoint itself named its weights last.
-	saidAt   time.Time
-	usedAt   time.Time
-	polledAt time.Time
+	// saidAt is when the endpoint itself named weights that were not known last, loadedAt when they were learned in any way.
+	saidAt, loadedAt time.Time
+	usedAt           time.Time
+	polledAt         time.Time
 }
 
 // listLag is the age of what the instance list says of an endpoint. What the endpoint itself has said is newer for so long.
@@ -62,7 +62,7 @@
 		v.ID, v.Kind, v.Group, v.Address, v.DataCentre = l.ID, l.Kind, l.Group, l.Address, l.DataCentre
 		if l.ListedAt.After(v.ListedAt) && time.Since(e.saidAt) > listLag {
 			if l.Version != v.Version {
-				e.loadingUntil = time.Time{}
+				e.loadingUntil, e.loadedAt = time.Time{}, time.Now()
 			}
 			v.Models, v.Version, v.Load.Slots, v.ListedAt = l.Models, l.Version, l.Load.Slots, l.ListedAt
 		}
@@ -207,7 +207,7 @@
 		v.Models = map[qm.ModelID]qm.VersionID{}
 	}
 	v.Models[model] = version
-	e.loadingUntil, e.saidAt = time.Time{}, time.Now()
+	e.loadingUntil, e.saidAt, e.loadedAt = time.Time{}, time.Now(), time.Now()
 	v.Version, v.ListedAt = qm.JoinVersions(v.Models), time.Now()
 	r.setEntry(e, &v)
 	r.publish()
--- a/internal/member/roster/hint.go
+++ b/internal/member/roster/hint.go
@@ -48,8 +48,11 @@
 // Loading tells that an endpoint is about to load weights.
 func (r *Roster) Loading(id qm.EndpointID) {
 	r.update(id, "", func(e *entry) {
-		e.loadingUntil = time.Now().Add(LoadingTime)
-		r.note(e, HintLoading)
+		until := time.Now().Add(LoadingTime)
+		if until.After(e.loadingUntil.Add(hintSlack)) {
+			e.loadingUntil = until
+			r.note(e, HintLoading)
+		}
 	})
 }
 
@@ -125,8 +128,10 @@
 		r.refresh(e)
 		return true
 	case HintLoading:
-		until := time.Now().Add(LoadingTime - h.Age)
-		if !until.After(e.loadingUntil.Add(hintSlack)) {
+		// What was said before the endpoint had its weights comes back by several ways.
+		at := time.Now().Add(-h.Age)
+		until := at.Add(LoadingTime)
+		if !at.After(e.loadedAt) || !until.After(e.loadingUntil.Add(hintSlack)) {
 			return false
 		}
 		e.loadingUntil = until
--- a/internal/route/exchg/decide.go
+++ b/internal/route/exchg/decide.go
@@ -83,12 +83,13 @@
 }
 
 // patience returns how long an attempt may show no progress before another endpoint is tried, 0 for as long as the exchange has.
-// begun tells that the answer has begun. An attempt that may not be repeated is never given up, since its answer may be on its way.
-func patience(x *qm.Exchange, begun bool, left time.Duration) time.Duration {
-	if !x.Route.Kind.Repeats() {
+// begun tells that the answer has begun, expected is when its beginning was expected. The last attempt that is allowed, and one that may
+// not be repeated, is never given up, since its answer may be on its way.
+func patience(x *qm.Exchange, t tally, begun bool, expected, left time.Duration) time.Duration {
+	if !x.Route.Kind.Repeats() || t.runs+1 >= x.Route.Attempts {
 		return 0
 	}
-	limit := max(stallFactor*x.Route.Objective, leastStall)
+	limit := max(stallFactor*x.Route.Objective, leastStall) + expected
 	if begun {
 		limit = max(stallFactor*x.Route.Pause, leastStall)
 	}
@@ -100,8 +101,8 @@
 }
 
 const (
-	// stallFactor times the objective without a sign of progress is the time after which an endpoint counts as stalled. An
-	// answer that is a little late is still worth more than one that starts anew.
+	// stallFactor times the objective without a sign of progress, beside the time that was expected, is the time after which an
+	// endpoint counts as stalled. An answer that is a little late is still worth more than one that starts anew.
 	stallFactor = 2
 	// leastStall is the least such time: several round trips and a retransmission.
 	leastStall = 300 * time.Millisecond
--- a/internal/route/exchg/engines.go
+++ b/internal/route/exchg/engines.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -11,29 +12,53 @@
 	"quetzalmount.dev/quetzalmount/internal/client/pool"
 )
 
-// newerWait is the part of the objective up to which a request waits longer for an engine with the wanted weights than for one with
-// older ones: an answer on older weights is worth less, but one that is late is worth less still.
-const newerWait = 0.5
+// olderCost is the part of the objective that an engine with older weights than wanted must be quicker to be chosen: an answer on older
+// weights is worth less, but one that is late is worth less still.
+const olderCost = 0.5
 
-// placeEngine places a request at an engine with the wanted weights if one is expected to be quick enough, else at any engine. It
-// returns the version that the engine has.
+// placeEngine places a request at the engine with the best expected time over all versions that may be used. It returns the version that
+// the engine has.
 func (t *run) placeEngine(q *qm.PlaceRequest, candidates []*qm.Endpoint, now time.Time, rnd *rand.Rand) (qm.Decision, qm.VersionID, bool) {
 	weights, _ := t.r.deps.Board.Weights.Load()
 	wanted := weights[t.x.Model]
 	candidates = t.r.allowed(candidates, t.x.Model, wanted, now)
-	newest := having(candidates, t.x.Model, wanted.Version)
-	if len(newest) > 0 {
-		q.Spans = spans(t.x, wanted.Version)
-		d, ok := t.r.deps.Engines.Place(q, newest, now, rnd)
-		limit := time.Duration(newerWait * float64(t.x.Route.Objective))
-		if ok && (d.Endpoint.State == qm.Live && d.Expected <= limit || len(newest) == len(candidates)) {
-			return d, wanted.Version, true
+	var best qm.Decision
+	var bestVersion qm.VersionID
+	var bestCost time.Duration
+	for _, v := range versions(candidates, t.x.Model) {
+		q.Spans = spans(t.x, v)
+		d, ok := t.r.deps.Engines.Place(q, having(candidates, t.x.Model, v), now, rnd)
+		q.Again = true
+		if !ok {
+			continue
+		}
+		cost := d.Expected
+		if v != wanted.Version {
+			cost += time.Duration(olderCost * float64(t.x.Route.Objective))
+		}
+		if d.Endpoint.State != qm.Live {
+			cost += suspectCost
+		}
+		if best.Endpoint == nil || cost < bestCost {
+			best, bestVersion, bestCost = d, v, cost
 		}
 	}
-	v := pickVersion(candidates, t.x.Model, rnd)
-	q.Spans = spans(t.x, v)
-	d, ok := t.r.deps.Engines.Place(q, having(candidates, t.x.Model, v), now, rnd)
-	return d, v, ok
+	q.Spans = spans(t.x, bestVersion)
+	return best, bestVersion, best.Endpoint != nil
+}
+
+// suspectCost keeps requests from engines that are suspect or load weights as long as there is any other.
+const suspectCost = time.Minute
+
+// versions returns the versions of a model that endpoints have.
+func versions(endpoints []*qm.Endpoint, model qm.ModelID) []qm.VersionID {
+	var out []qm.VersionID
+	for _, e := range endpoints {
+		if v, ok := e.Models[model]; ok && !slices.Contains(out, v) {
+			out = append(out, v)
+		}
+	}
+	return out
 }
 
 // allowed returns the candidates whose weights are not too old to be used.
@@ -54,29 +79,6 @@
 	return out
 }
 
-// pickVersion returns the version of a random engine, of one that takes work if there is any, so that versions get requests in
-// proportion to their engines.
-func pickVersion(candidates []*qm.Endpoint, model qm.ModelID, rnd *rand.Rand) qm.VersionID {
-	var chosen, spare qm.VersionID
-	total := 0
-	for _, e := range candidates {
-		v, ok := e.Models[model]
-		switch {
-		case !ok:
-		case e.State != qm.Live:
-			spare = v
-		default:
-			if total++; rnd.IntN(total) == 0 {
-				chosen = v
-			}
-		}
-	}
-	if total == 0 {
-		return spare
-	}
-	return chosen
-}
-
 // having returns the candidates that have the version of the model.
 func having(candidates []*qm.Endpoint, model qm.ModelID, v qm.VersionID) []*qm.Endpoint {
 	var out []*qm.Endpoint
--- a/internal/route/exchg/exchg.go
+++ b/internal/route/exchg/exchg.go
@@ -18,6 +18,7 @@
 	qm "quetzalmount.dev/quetzalmount"
 	"quetzalmount.dev/quetzalmount/internal/infra/logs"
 	"quetzalmount.dev/quetzalmount/internal/infra/meter"
+	"quetzalmount.dev/quetzalmount/internal/limit/shed"
 	"quetzalmount.dev/quetzalmount/internal/route/retry"
 	"quetzalmount.dev/quetzalmount/internal/state/board"
 )
@@ -205,7 +206,7 @@
 	defer cancel(nil)
 	stall := newStall(cancel)
 	defer stall.stop()
-	stall.set(patience(t.x, false, time.Until(t.x.GiveUp)))
+	stall.set(patience(t.x, t.tally, false, p.decision.Expected, time.Until(t.x.GiveUp)))
 	a, err := t.r.deps.Carrier.Send(ctx, t.x, p.offer)
 	if err != nil {
 		return t.cause(ctx, p, err)
@@ -287,7 +288,7 @@
 			}
 			p.first(time.Now())
 		}
-		stall.set(patience(t.x, true, time.Until(t.x.GiveUp)))
+		stall.set(patience(t.x, t.tally, true, 0, time.Until(t.x.GiveUp)))
 		if seen(id, t.last) {
 			continue
 		}
@@ -322,6 +323,15 @@
 	if !ok {
 		return nil, qm.Refuse(qm.CodeNoEndpoint, "place", "no endpoint of group %s can take the request now", t.x.Group).After(noEndpointRetry)
 	}
+	if t.tally.arrivals == 0 && t.x.Model != "" {
+		after, refuse := shed.Refuse(shed.Situation{
+			Expected: d.Expected, Wait: d.Wait, Objective: t.x.Route.Objective, Spent: now.Sub(t.x.Received), Left: t.x.GiveUp.Sub(now),
+		}, rnd)
+		if refuse {
+			return nil, qm.Refuse(qm.CodeOverload, "admit", "the first token is expected after %d ms, %d of them waiting for others, too late", d.Expected.Milliseconds(),
+				d.Wait.Milliseconds()).After(after).At(string(d.Endpoint.ID))
+		}
+	}
 	offer.Endpoint, offer.Source = d.Endpoint, d.Source
 	if d.Save {
 		offer.Store = q.Store
--- a/internal/route/place/place.go
+++ b/internal/route/place/place.go
@@ -103,14 +103,16 @@
 	p.fleet.sync(engines, now)
 	tick := p.fleet.tick(now)
 	group := qm.PrefixKey(xxhash.Sum64String(string(engines[0].Group)))
-	p.count(r, group, tick)
+	if !r.Again {
+		p.count(r, group, tick)
+	}
 	p.trace(r, tick)
 	best := p.score(r, engines, state, n, group, tick)
 	at, reason := p.choose(best, rnd)
 	e := p.fleet.at(at)
 	d := qm.Decision{
 		Endpoint: engines[at], Incarnation: engines[at].Incarnation, Reason: reason,
-		Expected: time.Duration(p.times[at] * float64(time.Second)),
+		Expected: seconds(p.times[at]), Wait: seconds(p.times[at] - p.missing(r, e)*e.cost),
 	}
 	if e.stamp == p.stamp {
 		d.Hit = qm.Tokens(e.hit)
@@ -122,6 +124,8 @@
 	return d, true
 }
 
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
 // useStore fetches from the store what no engine is expected to hold, and saves to it what it lacks.
 func (p *Expected) useStore(r *qm.PlaceRequest, d *qm.Decision, now sketch.Tick) {
 	slot := p.fleet.slot(r.Store.ID, now)
--- a/internal/state/roll/roll.go
+++ b/internal/state/roll/roll.go
@@ -16,15 +16,15 @@
 )
 
 const (
-	// loadingShare is the part of the engines of a model that load at the same time: one in four. The deployments' weight stores
-	// serve one in five to six at full speed; a few more keep the store busy while the end of a load is noticed.
-	loadingShare = 4
+	// loadingShare is the part of the engines of a model that load at the same time: one in five. The deployments' weight stores
+	// serve one in five to six at full speed.
+	loadingShare = 5
 	// leastLoading is the least number of engines that load at the same time.
-	leastLoading = 3
+	leastLoading = 2
 	// emptyTime is how long an engine gets no new requests before it loads. Most runs end in that time.
 	emptyTime = 500 * time.Millisecond
 	// longestEmpty is how long an engine is emptied at most while requests run on it that can't be continued elsewhere.
-	longestEmpty = 1500 * time.Millisecond
+	longestEmpty = 2500 * time.Millisecond
 	// loadTime is the least time that a load takes, lookEvery the time between two looks at whether it has ended.
 	loadTime  = 1900 * time.Millisecond
 	lookEvery = 200 * time.Millisecond
@@ -52,7 +52,7 @@
 	Model    qm.ModelID
 	// Number is the order of the version that the engine is to load.
 	Number int64
-	// Cut tells that the runs that are left may be cut, since each can be continued elsewhere.
+	// Cut tells that the runs that are left may be cut: each can be continued elsewhere, or it has had enough time.
 	Cut bool
 }
 
@@ -135,7 +135,7 @@
 		}
 		loading, emptying = loading+1, emptying-1
 		ph.loading, ph.busy, ph.weights = true, true, w
-		out = append(out, Order{Step: Load, Endpoint: e, Model: model, Number: w.Number, Cut: e.Load.Once == 0})
+		out = append(out, Order{Step: Load, Endpoint: e, Model: model, Number: w.Number, Cut: true})
 	}
 	slices.SortStableFunc(behind, func(a, b *qm.Endpoint) int { return compare(a, b, model) })
 	for _, e := range behind {
--- a/ports.go
+++ b/ports.go
@@ -54,6 +54,8 @@
 	Exclude []EndpointID
 	// Once tells that the request can't be continued at another endpoint.
 	Once bool
+	// Again tells that the request was placed before, so that it does not count as another one.
+	Again bool
 	// Store is the cache store that engines can fetch from, nil if there is none.
 	Store *Endpoint
 }
@@ -64,6 +66,8 @@
 	Incarnation Incarnation
 	// Expected is the expected time to first token.
 	Expected time.Duration
+	// Wait is the part of Expected that other requests cause.
+	Wait time.Duration
 	// Hit is the number of prompt tokens expected to be in the engine's cache.
 	Hit Tokens
 	// Source is another engine, or the store, that is expected to hold more of the prompt, nil if there is none.
