--- a/internal/entry/opaque/opaque.go
+++ b/internal/entry/opaque/opaque.go
@@ -47,6 +47,8 @@
 	Board  *board.Board
 	Codec  Codec
 	Runner Runner
+	// StopBy returns the time by which this router ends, false if it goes on.
+	StopBy func() (time.Time, bool)
 	Log    logr.Logger
 }
 
@@ -83,6 +85,10 @@
 		return
 	}
 	x.Received = now
+	if by, stops := h.deps.StopBy(); stops && now.Add(exchg.Length(x)).After(by) {
+		h.refuse(w, r, qm.Refuse(qm.CodeLeaving, "admit", "this router stops before the request would end").After(leavingRetry), true)
+		return
+	}
 	if err := readBody(w, r, x, routes.Bounds.BodyBytes); err != nil {
 		h.refuse(w, r, qm.AsError(err), true)
 		return
@@ -105,6 +111,9 @@
 // the log or to a peer away.
 const noTableRetry = 500 * time.Millisecond
 
+// leavingRetry is the time after which a caller should try again elsewhere.
+const leavingRetry = 10 * time.Millisecond
+
 // readBody reads the body of a request whole.
 func readBody(w http.ResponseWriter, r *http.Request, x *qm.Exchange, limit int64) error {
 	if r.ContentLength == 0 {
--- a/internal/route/exchg/decide.go
+++ b/internal/route/exchg/decide.go
@@ -107,3 +107,22 @@
 	// leastStall is the least such time: several round trips and a retransmission.
 	leastStall = 300 * time.Millisecond
 )
+
+const (
+	// tokenTime is the time between two tokens of an engine that also reads prompts, with some room.
+	tokenTime = 30 * time.Millisecond
+	// plainTime is the time in which nearly all answers of plain services are whole.
+	plainTime = 500 * time.Millisecond
+)
+
+// Length returns how long an exchange is expected to take at most, so that a router that stops can tell which it still finishes.
+func Length(x *qm.Exchange) time.Duration {
+	d := plainTime
+	if x.Route.Kind.Streams() {
+		d = 2*x.Route.Objective + time.Duration(x.OutputTokens)*tokenTime
+	}
+	if x.Route.Timeout > 0 {
+		d = min(d, x.Route.Timeout)
+	}
+	return d
+}
--- a/internal/route/exchg/engines.go
+++ b/internal/route/exchg/engines.go
@@ -14,7 +14,7 @@
 
 // olderCost is the part of the objective that an engine with older weights than wanted must be quicker to be chosen: an answer on older
 // weights is worth less, but one that is late is worth less still.
-const olderCost = 0.5
+const olderCost = 0.2
 
 // placeEngine places a request at the engine with the best expected time over all versions that may be used. It returns the version that
 // the engine has.
