--- a/internal/client/pool/pool.go
+++ b/internal/client/pool/pool.go
@@ -17,6 +17,8 @@
 	DefaultMaxAge = time.Minute
 	// DefaultConnectTimeout is well above the round trip between regions and below every request timeout.
 	DefaultConnectTimeout = time.Second
+	// probeTime is the time between probes of silent connections, the shortest that the system takes.
+	probeTime = time.Second
 	// DefaultIdlePerHost is the number of idle connections kept for one endpoint.
 	DefaultIdlePerHost = 64
 )
@@ -62,6 +64,10 @@
 		opts.IdleTime = opts.MaxAge
 	}
 	d := &net.Dialer{Timeout: opts.ConnectTimeout, Control: silentAfter(opts.SilentTime)}
+	if opts.SilentTime > 0 {
+		// Finds connections that something between the two ends has lost track of while an answer is waited for.
+		d.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: probeTime, Interval: probeTime, Count: 2}
+	}
 	p := &Pool{opts: opts}
 	p.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
 		c, err := d.DialContext(ctx, network, addr)
--- a/internal/member/peer/news.go
+++ b/internal/member/peer/news.go
@@ -43,6 +43,9 @@
 
 // news is what a router passes on to its peers.
 type news struct {
+	// maxHints bounds the hints in a message.
+	maxHints int
+
 	mu     sync.Mutex
 	states queue[*peerpb.InstanceState]
 	hints  queue[roster.Hint]
@@ -71,7 +74,7 @@
 	for _, i := range n.states.take(MaxOthers, has) {
 		others = append(others, i.value)
 	}
-	for _, i := range n.hints.take(MaxHints, has) {
+	for _, i := range n.hints.take(n.maxHints, has) {
 		h := i.value
 		if h.Age += time.Since(i.at); h.Age < roster.HintValidity {
 			hints = append(hints, toWire(h))
--- a/internal/member/peer/options.go
+++ b/internal/member/peer/options.go
@@ -61,6 +61,8 @@
 	Grant func(context.Context, *peerpb.BorrowRequest) (*peerpb.BorrowResponse, error)
 
 	Round, Gap, Timeout time.Duration
+	// Hints bounds the hints in a message; 0 means MaxHints.
+	Hints int
 }
 
 func (o *Options) fill() {
@@ -72,6 +74,9 @@
 			*d.v = d.d
 		}
 	}
+	if o.Hints <= 0 {
+		o.Hints = MaxHints
+	}
 	if o.Scheme == "" {
 		o.Scheme = "http"
 	}
--- a/internal/member/peer/peer.go
+++ b/internal/member/peer/peer.go
@@ -49,7 +49,7 @@
 	o.fill()
 	ctx, cancel := context.WithCancel(ctx)
 	p := &Peer{
-		opts: o, cancel: cancel, wake: make(chan struct{}, 1),
+		opts: o, cancel: cancel, wake: make(chan struct{}, 1), news: news{maxHints: o.Hints},
 		client:  client{http: slim{o.Client}, scheme: o.Scheme, timeout: o.Timeout},
 		version: time.Now().UnixMilli(),
 	}
--- a/internal/route/exchg/engines.go
+++ b/internal/route/exchg/engines.go
@@ -25,7 +25,11 @@
 	var best qm.Decision
 	var bestVersion qm.VersionID
 	var bestCost time.Duration
-	for _, v := range versions(candidates, t.x.Model) {
+	all := versions(candidates, t.x.Model)
+	if t.r.deps.Many() && len(all) > 1 && !t.drawNewest(candidates, wanted, rnd) {
+		all = slices.DeleteFunc(all, func(v qm.VersionID) bool { return v == wanted.Version })
+	}
+	for _, v := range all {
 		q.Spans = spans(t.x, v)
 		d, ok := t.r.deps.Engines.Place(q, having(candidates, t.x.Model, v), now, rnd)
 		q.Again = true
@@ -47,6 +51,25 @@
 	return best, bestVersion, best.Endpoint != nil
 }
 
+// newestShare bounds the requests that are offered to the engines with the wanted weights to this many times their part of all engines.
+// Many routers that know little of each other would otherwise send all requests to the first engines that have them.
+const newestShare = 1.6
+
+// drawNewest draws whether a request may go to an engine with the wanted weights.
+func (t *run) drawNewest(candidates []*qm.Endpoint, wanted qm.Weights, rnd *rand.Rand) bool {
+	newest, live := 0, 0
+	for _, e := range candidates {
+		if e.State != qm.Live {
+			continue
+		}
+		live++
+		if e.Models[t.x.Model] == wanted.Version {
+			newest++
+		}
+	}
+	return rnd.Float64()*float64(live) < newestShare*float64(newest)
+}
+
 // suspectCost keeps requests from engines that are suspect or load weights as long as there is any other.
 const suspectCost = time.Minute
 
--- a/internal/route/exchg/exchg.go
+++ b/internal/route/exchg/exchg.go
@@ -45,8 +45,10 @@
 	Observer          Observer
 	// DataCentre is that of this router; of several cache stores the one there is used.
 	DataCentre qm.DataCentre
-	// StoreAway reports whether the cache store can't be reached.
+	// StoreAway reports whether the cache store can't be reached, or is not used.
 	StoreAway func() bool
+	// Many reports whether there are so many routers that each knows little of the others.
+	Many func() bool
 	// OldWeights is how long after new weights were named engines with older ones may be used, 0 for ever.
 	OldWeights time.Duration
 	Meter      *meter.Meter
--- a/internal/route/feed/feed.go
+++ b/internal/route/feed/feed.go
@@ -44,7 +44,9 @@
 	// Read returns events of an engine from a sequence number on; 0 asks for the newest ones.
 	Read  func(ctx context.Context, e *qm.Endpoint, from int64, limit int) (Page, error)
 	Every time.Duration
-	Log   logr.Logger
+	// Paused reports whether no events are read for now; nil means never.
+	Paused func() bool
+	Log    logr.Logger
 }
 
 // cursor is the position in the events of one engine.
@@ -88,6 +90,9 @@
 
 // round reads from the next engines in turn.
 func (f *Feed) round(ctx context.Context) {
+	if f.opts.Paused != nil && f.opts.Paused() {
+		return
+	}
 	var reads sync.WaitGroup
 	for _, e := range f.next(time.Now()) {
 		reads.Go(func() { f.read(ctx, e) })
--- a/internal/route/place/homes.go
+++ b/internal/route/place/homes.go
@@ -65,6 +65,16 @@
 	}
 }
 
+// has reports whether an engine is a home.
+func (h *homes) has(place int) bool {
+	for _, at := range h.places[:h.n] {
+		if at == place {
+			return true
+		}
+	}
+	return false
+}
+
 // hot reports whether an engine is one of several homes.
 func (h *homes) hot(place int) bool {
 	for _, at := range h.places[:h.n] {
--- a/internal/route/place/place.go
+++ b/internal/route/place/place.go
@@ -46,6 +46,13 @@
 	Kept float64
 	// EventSilence is the time without events after which an engine's entries are judged by age alone.
 	EventSilence time.Duration
+	// Direct selects the homes by the longest shared prefix alone, so that routers that see few requests agree on them.
+	Direct bool
+	// Blindly is the number of engines beside the homes and the holders that are looked at, drawn by lot, when there are more of them:
+	// routers whose knowledge of each other is old would all choose the same idle engine. 0 means all.
+	Blindly int
+	// Guess names a source for what no engine is known to hold: the engine that was the home before the chosen one.
+	Guess bool
 	// EventLag is the assumed delay of cache events.
 	EventLag time.Duration
 }
@@ -107,7 +114,7 @@
 		p.count(r, group, tick)
 	}
 	p.trace(r, tick)
-	best := p.score(r, engines, state, n, group, tick)
+	best := p.score(r, engines, state, n, group, tick, rnd)
 	at, reason := p.choose(best, rnd)
 	e := p.fleet.at(at)
 	d := qm.Decision{
@@ -118,12 +125,41 @@
 		d.Hit = qm.Tokens(e.hit)
 	}
 	d.Source = p.source(engines, at, d.Hit, rnd)
+	if d.Source == nil && p.opt.Guess && d.Hit == 0 {
+		d.Source = p.guess(r, engines, at)
+	}
 	if r.Store != nil {
 		p.useStore(r, &d, tick)
 	}
 	return d, true
 }
 
+// guess returns the live engine that is the home of the longest shared prefix, or, if that is the chosen one at a position, the one
+// that would be without it: it was the home before the chosen one came, or got its weights.
+func (p *Expected) guess(r *qm.PlaceRequest, engines []*qm.Endpoint, chosen int) *qm.Endpoint {
+	key := lastShared(r)
+	var best *qm.Endpoint
+	var most uint64
+	for i, e := range engines {
+		if i == chosen || e.State != qm.Live {
+			continue
+		}
+		if w := weigh(key, p.fleet.at(i).hash); best == nil || w > most {
+			best, most = e, w
+		}
+	}
+	return best
+}
+
+// lastShared returns the key of the longest prefix that other prompts may share.
+func lastShared(r *qm.PlaceRequest) qm.PrefixKey {
+	s := shared(r)
+	if len(s) == 0 {
+		return 0
+	}
+	return s[len(s)-1].Key
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // useStore fetches from the store what no engine is expected to hold, and saves to it what it lacks.
@@ -241,6 +277,14 @@
 func (p *Expected) settle(r *qm.PlaceRequest, group qm.PrefixKey, n int, sight float64) {
 	p.homes.reset()
 	total := math.Max(1, p.hot.Count(group))
+	if p.opt.Direct {
+		key, want := lastShared(r), 1
+		if total >= p.opt.Sample {
+			want = p.width(key, total, n)
+		}
+		p.selectHomes(key, min(want, maxHomes, n))
+		return
+	}
 	if total >= p.opt.Sample && sight >= p.opt.LeastSight {
 		p.narrow(r, total, n)
 		return
@@ -288,7 +332,7 @@
 // score fills in the expected times, the homes and the scores, and returns the least score.
 func (p *Expected) score(
 	r *qm.PlaceRequest, engines []*qm.Endpoint, state qm.MemberState, n int,
-	group qm.PrefixKey, now sketch.Tick,
+	group qm.PrefixKey, now sketch.Tick, rnd *rand.Rand,
 ) float64 {
 	total := 0
 	p.times, p.scores = p.times[:0], p.scores[:0]
@@ -319,6 +363,7 @@
 	p.settle(r, group, n, sight)
 	p.homes.refund(p.scores, p.times)
 	p.charge(r)
+	p.thin(n, rnd)
 	best := math.Inf(1)
 	for _, s := range p.scores {
 		best = math.Min(best, s)
@@ -326,6 +371,23 @@
 	return best
 }
 
+// thin takes engines out of the choice that are neither homes nor hold anything, until Blindly of them are left.
+func (p *Expected) thin(n int, rnd *rand.Rand) {
+	if p.opt.Blindly == 0 || n <= 2*p.opt.Blindly {
+		return
+	}
+	var others []int
+	for i := range p.scores {
+		if e := p.fleet.at(i); !math.IsInf(p.scores[i], 1) && !p.homes.has(i) && (e.stamp != p.stamp || e.hit == 0) {
+			others = append(others, i)
+		}
+	}
+	rnd.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	for _, i := range others[min(len(others), p.opt.Blindly):] {
+		p.scores[i] = math.Inf(1)
+	}
+}
+
 // sight returns the part of the caches of the usable engines that events show.
 func (p *Expected) sight(now sketch.Tick) float64 {
 	seen, n := 0.0, 0.0
