--- /dev/null
+++ b/internal/entry/opaque/opaque_test.go
@@ -0,0 +1,178 @@
+package opaque_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+
+	qm "quetzalmount.dev/quetzalmount"
+	"quetzalmount.dev/quetzalmount/internal/entry/opaque"
+	"quetzalmount.dev/quetzalmount/internal/entry/strict"
+	"quetzalmount.dev/quetzalmount/internal/route/exchg"
+	"quetzalmount.dev/quetzalmount/internal/state/board"
+)
+
+type codec struct{}
+
+func (codec) Decode(r *http.Request, _ *qm.Routes, now time.Time) (*qm.Exchange, error) {
+	if r.URL.Path == "/unknown" {
+		return nil, qm.Refuse(qm.CodeNotFound, "route", "no route")
+	}
+	return &qm.Exchange{
+		Request: "r", Route: &qm.Route{Kind: qm.NonIdempotent, Timeout: time.Second}, GiveUp: now.Add(300 * time.Millisecond),
+		Deadline: now.Add(time.Second),
+	}, nil
+}
+func (codec) Answer(to http.Header, a *qm.Answer) { to.Set("From", a.Header.Get("From")) }
+func (codec) Refuse(to http.Header, _ *http.Request, e *qm.Error) {
+	to.Set("Outcome", string(e.Outcome))
+}
+
+// runner answers by the body of a request.
+type runner struct{}
+
+func (runner) Run(ctx context.Context, x *qm.Exchange, w exchg.Writer) error {
+	a := &qm.Answer{Status: 200, Header: http.Header{"From": {"e"}}}
+	switch body := string(x.Body); body {
+	case "refused":
+		return qm.Refuse(qm.CodeEndpointFull, "send", "full")
+	case "lost":
+		return qm.Fail(qm.CodeEndpoint, "send", "e", errors.New("reset"))
+	case "late":
+		return qm.Fail(qm.CodeTimeout, "send", "e", errors.New("late"))
+	case "late, not run":
+		return qm.Refuse(qm.CodeTimeout, "place", "late")
+	case "cut":
+		_ = w.Begin(a)
+		_ = w.Event([]byte("id: 1\n\n"), true)
+		return qm.Fail(qm.CodeEndpoint, "read", "e", errors.New("reset")).Because(exchg.ErrBegun)
+	case "stream":
+		_ = w.Begin(a)
+		_ = w.Event([]byte("id: 1\n\n"), true)
+		return w.End()
+	default:
+		return w.Whole(a, x.Body)
+	}
+}
+
+func serve(t *testing.T, b *board.Board, stopBy func() (time.Time, bool)) *httptest.Server {
+	t.Helper()
+	h := opaque.New(opaque.Deps{Board: b, Codec: codec{}, Runner: runner{}, StopBy: stopBy, Log: logr.Discard()})
+	s := httptest.NewUnstartedServer(h)
+	s.Config.ConnContext = strict.ConnContext
+	s.Listener = strict.Listener{Listener: s.Listener}
+	s.Start()
+	t.Cleanup(s.Close)
+	return s
+}
+
+func goesOn() (time.Time, bool) { return time.Time{}, false }
+
+// TestAnswers guards against a status that promises that a request was not run although it may have, and against an answer that looks
+// whole although it is not.
+func TestAnswers(t *testing.T) {
+	b := board.New()
+	b.Routes.Store(&qm.Routes{Bounds: qm.Bounds{BodyBytes: 100}})
+	s := serve(t, b, goesOn)
+	for _, tt := range []struct {
+		path, body string
+		status     int
+		text       string
+	}{
+		{"/", "hello", 200, "hello"},
+		{"/", "stream", 200, "id: 1\n\n"},
+		{"/", "refused", 503, "full\n"},
+		{"/", "lost", 502, "reset\n"},
+		{"/", "late", 504, "late\n"},
+		{"/", "late, not run", 503, "late\n"},
+		{"/unknown", "x", 404, "no route\n"},
+		{"/", strings.Repeat("x", 101), 413, "the body has 101 bytes, more than 100\n"},
+	} {
+		resp, err := http.Post(s.URL+tt.path, "", strings.NewReader(tt.body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		text, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if resp.StatusCode != tt.status || string(text) != tt.text || err != nil {
+			t.Errorf("%s: status %d %q (%v), want %d %q", tt.body, resp.StatusCode, text, err, tt.status, tt.text)
+		}
+	}
+	resp, err := http.Post(s.URL, "", strings.NewReader("cut"))
+	if err == nil {
+		_, err = io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+	}
+	if err == nil {
+		t.Error("a stream that was cut looks whole")
+	}
+}
+
+// TestNoConfiguration guards against a router that calls a route or a key unknown before it knows any.
+func TestNoConfiguration(t *testing.T) {
+	resp, err := http.Post(serve(t, board.New(), goesOn).URL, "", strings.NewReader("x"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Outcome") != string(qm.NotRun) {
+		t.Errorf("status %d, outcome %s", resp.StatusCode, resp.Header.Get("Outcome"))
+	}
+}
+
+// TestStopping guards against a router that takes a request which its stop would cut, and that keeps its connections.
+func TestStopping(t *testing.T) {
+	b := board.New()
+	b.Routes.Store(&qm.Routes{})
+	b.Leaving.Store(true)
+	for left, want := range map[time.Duration]int{2 * time.Second: 200, 100 * time.Millisecond: 503} {
+		end := time.Now().Add(left)
+		resp, err := http.Post(serve(t, b, func() (time.Time, bool) { return end, true }).URL, "", strings.NewReader("x"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode != want || !resp.Close {
+			t.Errorf("%v before the end: status %d, closing %v; want %d, true", left, resp.StatusCode, resp.Close, want)
+		}
+	}
+}
+
+// TestSmuggling guards against a request that hides in another one's body, and against bodies that never arrive.
+func TestSmuggling(t *testing.T) {
+	b := board.New()
+	b.Routes.Store(&qm.Routes{})
+	s := serve(t, b, goesOn)
+	for name, tt := range map[string]struct {
+		send   string
+		status string
+	}{
+		"length beside chunks": {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 40\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /hidden HTTP/1.1\r\nHost: a\r\n\r\n", "400"},
+		"slow body":            {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 40\r\n\r\nab", "408"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, err := net.Dial("tcp", s.Listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = c.Close() }()
+			if _, err := fmt.Fprint(c, tt.send); err != nil {
+				t.Fatal(err)
+			}
+			_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+			got, err := io.ReadAll(c)
+			if err != nil || strings.Count(string(got), "HTTP/1.1 ") != 1 || !strings.HasPrefix(string(got), "HTTP/1.1 "+tt.status) {
+				t.Errorf("the caller got %q (%v), want one answer with %s and the end of the connection", got, err, tt.status)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/limit/shed/shed_test.go
@@ -0,0 +1,119 @@
+package shed_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"quetzalmount.dev/quetzalmount/internal/limit/shed"
+)
+
+func Example() {
+	rnd := rand.New(rand.NewPCG(1, 1))
+	s := shed.Situation{Expected: 400 * time.Millisecond, Wait: 350 * time.Millisecond, Objective: 500 * time.Millisecond, Left: 15 * time.Second}
+	_, refuse := shed.Refuse(s, rnd)
+	fmt.Println("in time:", refuse)
+	s.Expected, s.Wait = 900*time.Millisecond, 850*time.Millisecond
+	_, refuse = shed.Refuse(s, rnd)
+	fmt.Println("late:", refuse)
+	s.Expected, s.Wait = 900*time.Millisecond, 100*time.Millisecond
+	_, refuse = shed.Refuse(s, rnd)
+	fmt.Println("too large to be in time, but the queue is short:", refuse)
+	// Output:
+	// in time: false
+	// late: true
+	// too large to be in time, but the queue is short: false
+}
+
+// TestComeBack guards against callers that are asked to come back later than they do, in one moment, or when it is no use.
+func TestComeBack(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(1, 2))
+	s := shed.Situation{Expected: 3 * time.Second, Wait: 2 * time.Second, Objective: 500 * time.Millisecond, Left: 15 * time.Second}
+	least, most := time.Hour, time.Duration(0)
+	for range 100 {
+		after, refuse := shed.Refuse(s, rnd)
+		if !refuse || after <= 0 || after > s.Left/3 {
+			t.Fatalf("Refuse() = %v, %v", after, refuse)
+		}
+		least, most = min(least, after), max(most, after)
+	}
+	if most-least < 500*time.Millisecond {
+		t.Errorf("callers come back between %v and %v", least, most)
+	}
+	s.Left = 200 * time.Millisecond
+	if after, refuse := shed.Refuse(s, rnd); !refuse || after != 0 {
+		t.Errorf("without time to come back: Refuse() = %v, %v", after, refuse)
+	}
+}
+
+// queue is one engine that reads prompts one after the other.
+type queue struct {
+	busy time.Time
+}
+
+func (q *queue) wait(now time.Time) time.Duration { return max(0, q.busy.Sub(now)) }
+
+// replay sends requests at 1.5 times the rate that a queue serves for 20 s and returns the shares that were in time, late and not
+// served. Callers come back once.
+func replay(decide func(shed.Situation, *rand.Rand) (time.Duration, bool)) (inTime, late float64) {
+	const (
+		work, every, length = 30 * time.Millisecond, 20 * time.Millisecond, 20 * time.Second
+		objective, patience = 500 * time.Millisecond, 5 * time.Second
+	)
+	type arrival struct {
+		at, first time.Duration
+		again     bool
+	}
+	rnd := rand.New(rand.NewPCG(3, 4))
+	start := time.Unix(0, 0)
+	var pending []arrival
+	for at := time.Duration(0); at < length; at += every {
+		pending = append(pending, arrival{at: at, first: at})
+	}
+	total := float64(len(pending))
+	q := &queue{busy: start}
+	ok, slow := 0, 0
+	for len(pending) > 0 {
+		best := 0
+		for i := range pending {
+			if pending[i].at < pending[best].at {
+				best = i
+			}
+		}
+		a := pending[best]
+		pending = append(pending[:best], pending[best+1:]...)
+		now := start.Add(a.at)
+		wait := q.wait(now)
+		left := a.first + patience - a.at
+		after, refuse := decide(shed.Situation{Expected: wait + work, Wait: wait, Objective: objective, Left: left}, rnd)
+		if refuse {
+			if !a.again && after > 0 {
+				pending = append(pending, arrival{at: a.at + after, first: a.first, again: true})
+			}
+			continue
+		}
+		q.busy = now.Add(wait + work)
+		switch took := a.at + wait + work - a.first; {
+		case took <= objective:
+			ok++
+		case took <= patience:
+			slow++
+		}
+	}
+	return float64(ok) / total, float64(slow) / total
+}
+
+// TestOverload replays an overload of half as much again as is served: without refusals nearly all answers are late, with them half
+// or more are in time.
+func TestOverload(t *testing.T) {
+	all, _ := replay(func(shed.Situation, *rand.Rand) (time.Duration, bool) { return 0, false })
+	inTime, late := replay(shed.Refuse)
+	t.Logf("in time without refusals %.2f; with them %.2f, late %.2f", all, inTime, late)
+	if all > 0.1 {
+		t.Errorf("the load is no overload: %.2f in time without refusals", all)
+	}
+	if inTime < 0.5 {
+		t.Errorf("%.2f in time, want at least 0.5", inTime)
+	}
+}
--- /dev/null
+++ b/internal/member/loads/loads_test.go
@@ -0,0 +1,82 @@
+package loads
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	qm "quetzalmount.dev/quetzalmount"
+	"quetzalmount.dev/quetzalmount/internal/state/board"
+	"quetzalmount.dev/quetzalmount/internal/wire/peerpb"
+)
+
+// nothing is a placer that does nothing.
+type nothing struct{ qm.Placer }
+
+func (nothing) Dispatched(*qm.PlaceRequest, qm.Decision, time.Time)            {}
+func (nothing) FirstToken(*qm.PlaceRequest, qm.Decision, qm.Tokens, time.Time) {}
+func (nothing) Finished(*qm.PlaceRequest, qm.Decision, time.Time)              {}
+
+func newBook(ctx context.Context, id qm.InstanceID) *Book {
+	return New(ctx, Options{
+		Board: board.New(), Self: id, Publish: func(map[qm.EndpointID]qm.Load) {},
+		Trade: func(context.Context, qm.Member, *peerpb.LoadShare) (*peerpb.LoadShare, error) {
+			return nil, context.Canceled
+		},
+	})
+}
+
+// TestCounts guards against work that is counted for ever, or prompts that are counted after they were read.
+func TestCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBook(t.Context(), "a")
+		defer b.Close()
+		c := Counted{Placer: nothing{}, Book: b}
+		d := qm.Decision{Endpoint: &qm.Endpoint{ID: "e"}, Hit: 400}
+		r := &qm.PlaceRequest{PromptTokens: 1000, Once: true}
+		now := time.Now()
+		expect := func(when string, want map[qm.EndpointID]qm.Load) {
+			t.Helper()
+			if diff := cmp.Diff(want, b.Estimate(0, now)); diff != "" {
+				t.Errorf("%s (-want +got):\n%s", when, diff)
+			}
+		}
+		c.Dispatched(r, d, now)
+		expect("sent", map[qm.EndpointID]qm.Load{"e": {Running: 1, Once: 1, QueuedTokens: 600}})
+		c.FirstToken(r, d, 400, now)
+		expect("first token", map[qm.EndpointID]qm.Load{"e": {Running: 1, Once: 1}})
+		c.Finished(r, d, now)
+		c.Finished(r, d, now)
+		expect("finished", map[qm.EndpointID]qm.Load{})
+		c.Dispatched(r, d, now)
+		c.Finished(r, d, now)
+		expect("failed before its first token", map[qm.EndpointID]qm.Load{})
+	})
+}
+
+// TestEstimate guards against an estimate that is wrong when only some routers were heard, or that keeps routers that fell silent.
+func TestEstimate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBook(t.Context(), "a")
+		defer b.Close()
+		for i := range 10 {
+			b.Traded(&peerpb.LoadShare{
+				Instance: fmt.Sprint("r", i), Loads: []*peerpb.EndpointLoad{{Endpoint: "e", Requests: 2, PendingTokens: 100, Once: 1}},
+			})
+		}
+		if got, want := b.Estimate(40, time.Now())["e"], (qm.Load{Running: 80, Once: 40, QueuedTokens: 4000}); got != want {
+			t.Errorf("10 of 40 heard: %+v, want %+v", got, want)
+		}
+		if got := b.Estimate(5, time.Now())["e"].Running; got != 20 {
+			t.Errorf("more heard than there are: %d, want 20", got)
+		}
+		time.Sleep(2 * fresh)
+		if got := b.Estimate(40, time.Now()); len(got) != 0 {
+			t.Errorf("silent routers still count: %v", got)
+		}
+	})
+}
--- a/internal/route/place/place.go
+++ b/internal/route/place/place.go
@@ -51,7 +51,8 @@
 	// Blindly is the number of engines beside the homes and the holders that are looked at, drawn by lot, when there are more of them:
 	// routers whose knowledge of each other is old would all choose the same idle engine. 0 means all.
 	Blindly int
-	// Guess names a source for what no engine is known to hold: the engine that was the home before the chosen one.
+	// Guess names a source for what no engine is known to hold, if there is no store: the engine that was the home before the chosen
+	// one.
 	Guess bool
 	// EventLag is the assumed delay of cache events.
 	EventLag time.Duration
@@ -125,8 +126,10 @@
 		d.Hit = qm.Tokens(e.hit)
 	}
 	d.Source = p.source(engines, at, d.Hit, rnd)
-	if d.Source == nil && p.opt.Guess && d.Hit == 0 {
-		d.Source = p.guess(r, engines, at)
+	if p.opt.Guess && r.Store == nil && d.Hit+leastFetch <= sharedEnd(r) && (d.Source == nil || p.fleet.hit(d.Source.ID)+leastFetch <= float64(sharedEnd(r))) {
+		if g := p.guess(r, engines, at); g != nil {
+			d.Source = g
+		}
 	}
 	if r.Store != nil {
 		p.useStore(r, &d, tick)
@@ -181,11 +184,15 @@
 	if held >= most+leastFetch {
 		d.Source = r.Store
 	}
-	shared := qm.Tokens(0)
+	d.Save = float64(sharedEnd(r)) >= held+leastFetch
+}
+
+// sharedEnd returns the tokens of the part of the prompt that others may share.
+func sharedEnd(r *qm.PlaceRequest) qm.Tokens {
 	if n := len(r.Spans); n > 1 {
-		shared = r.Spans[n-2].End
+		return r.Spans[n-2].End
 	}
-	d.Save = float64(shared) >= held+leastFetch
+	return 0
 }
 
 // leastFetch is the number of tokens that another engine must be expected to hold beyond those of the chosen one to be worth a
--- a/internal/state/roll/roll.go
+++ b/internal/state/roll/roll.go
@@ -21,8 +21,10 @@
 	loadingShare = 5
 	// leastLoading is the least number of engines that load at the same time.
 	leastLoading = 2
-	// emptyTime is how long an engine gets no new requests before it loads. Most runs end in that time.
-	emptyTime = 500 * time.Millisecond
+	// emptyTime is how long an engine gets no new requests before it loads, for each engine of the model that much longer: most runs
+	// end in that time, and in larger systems it takes longer until all routers have heard of it.
+	emptyTime      = 500 * time.Millisecond
+	emptyPerEngine = 10 * time.Millisecond
 	// longestEmpty is how long an engine is emptied at most while requests run on it that can't be continued elsewhere.
 	longestEmpty = 2500 * time.Millisecond
 	// loadTime is the least time that a load takes, lookEvery the time between two looks at whether it has ended.
@@ -143,7 +145,7 @@
 			break
 		}
 		emptying++
-		p.phases[e.ID] = &phase{weights: w, inc: e.Incarnation, next: now.Add(emptyTime), latest: now.Add(longestEmpty)}
+		p.phases[e.ID] = &phase{weights: w, inc: e.Incarnation, next: now.Add(emptyTime + time.Duration(engines)*emptyPerEngine), latest: now.Add(longestEmpty)}
 		out = append(out, Order{Step: Empty, Endpoint: e, Model: model, Number: w.Number})
 	}
 	return out
@@ -173,7 +175,7 @@
 	return out
 }
 
-// settle forgets engines that have the weights that they were to load, that are gone, or that have restarted.
+// settle forgets engines that have the weights that they were to load, that leave or are gone, or that have restarted.
 func (p *Plan) settle(endpoints []*qm.Endpoint) {
 	byID := make(map[qm.EndpointID]*qm.Endpoint, len(endpoints))
 	for _, e := range endpoints {
@@ -181,7 +183,7 @@
 	}
 	for id, ph := range p.phases {
 		e := byID[id]
-		if e == nil || e.Incarnation != ph.inc || has(e, ph.weights.Version) {
+		if e == nil || e.State == qm.Leaving || e.Incarnation != ph.inc || has(e, ph.weights.Version) {
 			delete(p.phases, id)
 		}
 	}
--- /dev/null
+++ b/internal/state/roll/roll_test.go
@@ -0,0 +1,151 @@
+package roll_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	qm "quetzalmount.dev/quetzalmount"
+	"quetzalmount.dev/quetzalmount/internal/state/roll"
+)
+
+// fleet is a number of engines that load as they are ordered.
+type fleet struct {
+	engines []*qm.Endpoint
+	ready   map[qm.EndpointID]time.Time
+	target  map[qm.EndpointID]int64
+	// most is the most engines that loaded at the same time, loads their number.
+	most, loads int
+}
+
+func newFleet(n int, version qm.VersionID) *fleet {
+	f := &fleet{ready: map[qm.EndpointID]time.Time{}, target: map[qm.EndpointID]int64{}}
+	for i := range n {
+		f.engines = append(f.engines, &qm.Endpoint{
+			ID: qm.EndpointID(fmt.Sprintf("e%02d", i)), State: qm.Live, Incarnation: "1", Models: map[qm.ModelID]qm.VersionID{"m": version},
+		})
+	}
+	return f
+}
+
+// step carries out what is due at a time.
+func (f *fleet) step(p *roll.Plan, wanted map[qm.ModelID]qm.Weights, now time.Time) {
+	for _, o := range p.Next(f.engines, wanted, now) {
+		id := o.Endpoint.ID
+		switch o.Step {
+		case roll.Load:
+			f.loads++
+			f.ready[id], f.target[id] = now.Add(1900*time.Millisecond), o.Number
+			f.most = max(f.most, len(f.ready))
+			p.Did(o, roll.Loading, now)
+		case roll.Look:
+			if now.Before(f.ready[id]) {
+				p.Did(o, roll.Loading, now)
+				continue
+			}
+			delete(f.ready, id)
+			for i, e := range f.engines {
+				if e.ID == id {
+					c := *e
+					c.Models = map[qm.ModelID]qm.VersionID{"m": qm.VersionID(fmt.Sprint(f.target[id]))}
+					f.engines[i] = &c
+				}
+			}
+			p.Did(o, roll.Ended, now)
+		}
+	}
+}
+
+func (f *fleet) versions() map[qm.VersionID]int {
+	out := map[qm.VersionID]int{}
+	for _, e := range f.engines {
+		out[e.Models["m"]]++
+	}
+	return out
+}
+
+func weights(n int64) map[qm.ModelID]qm.Weights {
+	return map[qm.ModelID]qm.Weights{"m": {Version: qm.VersionID(fmt.Sprint(n)), Number: n}}
+}
+
+// TestRollOut guards against a roll-out that takes too many engines at once, loads one twice, or is too slow: the users' twelve engines
+// have fifteen seconds.
+func TestRollOut(t *testing.T) {
+	f, p, now := newFleet(12, "1"), roll.New(), time.Unix(0, 0)
+	took := time.Duration(0)
+	for f.versions()["2"] < 12 && took < time.Minute {
+		f.step(p, weights(2), now.Add(took))
+		took += 50 * time.Millisecond
+	}
+	t.Logf("12 engines took %v, %d at the same time", took, f.most)
+	if took > 14*time.Second || f.most > 2 || f.loads != 12 {
+		t.Errorf("took %v, %d at the same time, %d loads", took, f.most, f.loads)
+	}
+}
+
+// TestNewerVersion guards against a newer version that keeps the engines with the oldest weights waiting.
+func TestNewerVersion(t *testing.T) {
+	f, p, now := newFleet(12, "1"), roll.New(), time.Unix(0, 0)
+	for at := time.Duration(0); at < 15*time.Second; at += 50 * time.Millisecond {
+		w := weights(2)
+		if at >= 6*time.Second {
+			w = weights(3)
+		}
+		f.step(p, w, now.Add(at))
+	}
+	if old := f.versions()["1"]; old > 0 {
+		t.Errorf("%d engines still have the version before both after 15 s: %v", old, f.versions())
+	}
+}
+
+// TestFates guards against orders that are given again at once although they may still be carried out, and against engines that are
+// waited for although they have restarted or left.
+func TestFates(t *testing.T) {
+	f, p, now := newFleet(1, "1"), roll.New(), time.Unix(0, 0)
+	steps := func(at time.Duration) (out []roll.Step) {
+		for _, o := range p.Next(f.engines, weights(2), now.Add(at)) {
+			out = append(out, o.Step)
+			if o.Step != roll.Empty {
+				p.Did(o, roll.Lost, now.Add(at))
+			}
+		}
+		return out
+	}
+	var got [][]roll.Step
+	for _, at := range []time.Duration{0, 100 * time.Millisecond, 500 * time.Millisecond, 900 * time.Millisecond, 1500 * time.Millisecond} {
+		got = append(got, steps(at))
+	}
+	want := [][]roll.Step{{roll.Empty}, nil, {roll.Load}, nil, {roll.Load}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("steps of an order that is lost (-want +got):\n%s", diff)
+	}
+	c := *f.engines[0]
+	c.Incarnation = "2"
+	f.engines[0] = &c
+	if got := steps(1600 * time.Millisecond); !cmp.Equal(got, []roll.Step{roll.Empty}) {
+		t.Errorf("after a restart: %v, want to begin anew", got)
+	}
+	c.State = qm.Leaving
+	if got := steps(5 * time.Second); got != nil {
+		t.Errorf("an engine that leaves gets %v", got)
+	}
+}
+
+// TestOnce guards against cutting runs that can't go on elsewhere before they had time to end.
+func TestOnce(t *testing.T) {
+	f, p, now := newFleet(1, "1"), roll.New(), time.Unix(0, 0)
+	f.engines[0].Load.Once = 1
+	var loaded time.Duration
+	for at := time.Duration(0); at < 5*time.Second && loaded == 0; at += 50 * time.Millisecond {
+		for _, o := range p.Next(f.engines, weights(2), now.Add(at)) {
+			if o.Step == roll.Load {
+				loaded = at
+			}
+		}
+	}
+	if loaded < 2*time.Second {
+		t.Errorf("the engine loads after %v although it runs a request that can't go on elsewhere", loaded)
+	}
+}
