--- a/internal/route/place/place.go
+++ b/internal/route/place/place.go
@@ -126,7 +126,7 @@
 		d.Hit = qm.Tokens(e.hit)
 	}
 	d.Source = p.source(engines, at, d.Hit, rnd)
-	if p.opt.Guess && r.Store == nil && d.Hit+leastFetch <= sharedEnd(r) && (d.Source == nil || p.fleet.hit(d.Source.ID)+leastFetch <= float64(sharedEnd(r))) {
+	if p.opt.Guess && r.Store == nil && (d.Source == nil || p.fleet.hit(d.Source.ID)+leastFetch <= float64(sharedEnd(r))) {
 		if g := p.guess(r, engines, at); g != nil {
 			d.Source = g
 		}
@@ -137,10 +137,17 @@
 	return d, true
 }
 
-// guess returns the live engine that is the home of the longest shared prefix, or, if that is the chosen one at a position, the one
-// that would be without it: it was the home before the chosen one came, or got its weights.
+// guess returns the live engine that is likeliest to hold what the chosen one at a position lacks: the home of the longest shared prefix;
+// if that is the chosen one, the home of the first step, which many prompts share, or, if the chosen one was seen to hold that, the
+// engine that was the home before the chosen one came or got its weights.
 func (p *Expected) guess(r *qm.PlaceRequest, engines []*qm.Endpoint, chosen int) *qm.Endpoint {
+	if len(r.Spans) == 0 {
+		return nil
+	}
 	key := lastShared(r)
+	if first := r.Spans[0]; p.homes.n > 0 && p.homes.places[0] == chosen && !p.holds(first.Key, chosen) {
+		key = first.Key
+	}
 	var best *qm.Endpoint
 	var most uint64
 	for i, e := range engines {
@@ -154,6 +161,16 @@
 	return best
 }
 
+// holds reports whether an engine was seen to hold a prefix since its epoch began.
+func (p *Expected) holds(key qm.PrefixKey, at int) bool {
+	for _, h := range p.table.Get(key) {
+		if h.Engine == p.fleet.list[at] && h.Epoch == p.fleet.at(at).epoch {
+			return true
+		}
+	}
+	return false
+}
+
 // lastShared returns the key of the longest prefix that other prompts may share.
 func lastShared(r *qm.PlaceRequest) qm.PrefixKey {
 	s := shared(r)
@@ -368,6 +385,7 @@
 		p.scores[i] = p.times[i] + stray*p.missing(r, e)*e.cost
 	}
 	p.settle(r, group, n, sight)
+	p.assume(r)
 	p.homes.refund(p.scores, p.times)
 	p.charge(r)
 	p.thin(n, rnd)
@@ -378,6 +396,25 @@
 	return best
 }
 
+// homeHit is the chance that the home of a prefix holds it, as far as this router knows nothing else: other routers send the same
+// prefixes there.
+const homeHit = 0.8
+
+// assume takes the first home of a prompt to hold its shared part when routers know too little of each other to tell.
+func (p *Expected) assume(r *qm.PlaceRequest) {
+	if !p.opt.Guess || r.Store != nil || p.homes.n == 0 {
+		return
+	}
+	at := p.homes.places[0]
+	e := p.fleet.at(at)
+	if e.stamp != p.stamp {
+		e.stamp, e.hit, e.conf = p.stamp, 0, 0
+	}
+	e.hit = math.Max(e.hit, homeHit*float64(sharedEnd(r)))
+	p.times[at] = p.expect(r, e)
+	p.scores[at] = p.times[at]
+}
+
 // thin takes engines out of the choice that are neither homes nor hold anything, until Blindly of them are left.
 func (p *Expected) thin(n int, rnd *rand.Rand) {
 	if p.opt.Blindly == 0 || n <= 2*p.opt.Blindly {
