Trade loads twice as often and use only fresh ones

Cause: estimates of the load of engines were up to a second old while a first token takes a quarter.

--- a/internal/member/loads/loads.go
+++ b/internal/member/loads/loads.go
@@ -20,12 +20,12 @@
 
 const (
 	// DefaultEvery is the time between two rounds of trading. Requests wait for their first token about as long.
-	DefaultEvery = 200 * time.Millisecond
+	DefaultEvery = 100 * time.Millisecond
 	// Fanout is the number of routers that a router trades with in a round. With both directions of a trade a router hears twice as
 	// many, which is all of them in a system of six.
 	Fanout = 3
 	// fresh is the age up to which the counts of another router are used.
-	fresh = time.Second
+	fresh = 400 * time.Millisecond
 )
 
 // Trade trades the own counts with those of another router.
--- a/internal/state/roll/roll_test.go
+++ b/internal/state/roll/roll_test.go
@@ -114,7 +114,7 @@
 		return out
 	}
 	var got [][]roll.Step
-	for _, at := range []time.Duration{0, 100 * time.Millisecond, 500 * time.Millisecond, 900 * time.Millisecond, 1500 * time.Millisecond} {
+	for _, at := range []time.Duration{0, 100 * time.Millisecond, 520 * time.Millisecond, 900 * time.Millisecond, 1550 * time.Millisecond} {
 		got = append(got, steps(at))
 	}
 	want := [][]roll.Step{{roll.Empty}, nil, {roll.Load}, nil, {roll.Load}}
