--- a/internal/route/place/learn.go
+++ b/internal/route/place/learn.go
@@ -46,7 +46,7 @@
 		return
 	}
 	missing, took := float64(r.PromptTokens-cached), now.Sub(f.started).Seconds()
-	p.trust.learn(f.others, took/e.cost-missing-f.own)
+	p.trust.learn(f.others, took/e.cost-missing-f.own, p.fleet.tick(now))
 	// A long queue says more about the quality of the load report than about the cost.
 	if ahead := f.own + f.others; missing >= leastSample && missing >= ahead {
 		e.cost += costWeight * (took/(missing+ahead) - e.cost)
--- a/internal/route/place/place.go
+++ b/internal/route/place/place.go
@@ -126,7 +126,7 @@
 		d.Hit = qm.Tokens(e.hit)
 	}
 	d.Source = p.source(engines, at, d.Hit, rnd)
-	if p.opt.Guess && r.Store == nil && (d.Source == nil || p.fleet.hit(d.Source.ID)+leastFetch <= float64(sharedEnd(r))) {
+	if p.guesses(r) && (d.Source == nil || p.fleet.hit(d.Source.ID)+leastFetch <= float64(sharedEnd(r))) {
 		if g := p.guess(r, engines, at); g != nil {
 			d.Source = g
 		}
@@ -371,7 +371,10 @@
 	bound := p.bound(total, n)
 	sight := p.sight(now)
 	stray := p.opt.Stray + p.opt.Blind*(1-sight)
-	p.base, p.slope = p.trust.line()
+	if p.guesses(r) {
+		stray = strayUnknown
+	}
+	p.base, p.slope = p.trust.line(now)
 	for i := range engines {
 		e := p.fleet.at(i)
 		if p.times[i] != 0 {
@@ -396,13 +399,20 @@
 	return best
 }
 
+// strayUnknown is Stray where routers know too little of each other: a copy that the others do not learn of is read once more at the
+// home, which costs more than an answer that is a little late.
+const strayUnknown = 0.5
+
+// guesses reports whether this router takes homes to hold what it does not know.
+func (p *Expected) guesses(r *qm.PlaceRequest) bool { return p.opt.Guess && r.Store == nil }
+
 // homeHit is the chance that the home of a prefix holds it, as far as this router knows nothing else: other routers send the same
 // prefixes there.
 const homeHit = 0.8
 
 // assume takes the first home of a prompt to hold its shared part when routers know too little of each other to tell.
 func (p *Expected) assume(r *qm.PlaceRequest) {
-	if !p.opt.Guess || r.Store != nil || p.homes.n == 0 {
+	if !p.guesses(r) || p.homes.n == 0 {
 		return
 	}
 	at := p.homes.places[0]
--- a/internal/route/place/place_test.go
+++ b/internal/route/place/place_test.go
@@ -271,13 +271,13 @@
 	good, bad := newTrust(), newTrust()
 	for range 1000 {
 		x, y := rnd.Float64()*40000, rnd.Float64()*40000
-		good.learn(x, x)
-		bad.learn(x, y)
+		good.learn(x, x, 1)
+		bad.learn(x, y, 1)
 	}
-	if _, slope := good.line(); slope < 0.95 {
+	if _, slope := good.line(1); slope < 0.95 {
 		t.Errorf("slope of exact reports = %.2f, want 1", slope)
 	}
-	if base, slope := bad.line(); slope > 0.25 || base < 12000 || base > 28000 {
+	if base, slope := bad.line(1); slope > 0.25 || base < 12000 || base > 28000 {
 		t.Errorf("line of useless reports = %.0f + %.2f x, want about 20000 + 0 x", base, slope)
 	}
 }
@@ -295,7 +295,7 @@
 		x.p.FirstToken(r, d, d.Hit, x.now.Add(time.Duration(float64(r.PromptTokens-d.Hit)*firstCost*1e9)))
 		x.p.Finished(r, d, x.now)
 	}
-	if base, slope := x.p.trust.line(); slope > 0.1 || base > 2000 {
+	if base, slope := x.p.trust.line(x.p.fleet.tick(x.now)); slope > 0.1 || base > 2000 {
 		t.Errorf("expected backlog = %.0f + %.2f x, while first tokens met none", base, slope)
 	}
 }
