Log without blocking, sample ordinary answers, and explain a request from its id

The log is written in the background from a bounded queue; dropped lines are counted and told. One in sixteen ordinary answers is logged, failures and repeated attempts always. quetzalmount explain collects the lines about one request.

--- a/internal/cli/verbs/serve.go
+++ b/internal/cli/verbs/serve.go
@@ -68,11 +68,13 @@
 			if err != nil {
 				return &exitError{code: ExitUsage, err: err}
 			}
-			log, err := logs.New(stdout, c.String("log-level"))
+			queue := logs.NewQueue(stdout)
+			defer func() { _ = queue.Close() }()
+			log, err := logs.New(queue, c.String("log-level"))
 			if err != nil {
 				return usage("--log-level: %v", err)
 			}
-			r, err := platform.New(path, settings, log)
+			r, err := platform.New(path, settings, log.WithValues("Instance", settings.Instance.Name))
 			if err != nil {
 				return err
 			}
--- a/internal/cli/verbs/verbs.go
+++ b/internal/cli/verbs/verbs.go
@@ -86,7 +86,7 @@
 		OnUsageError:   usageError,
 		Commands: []*cli.Command{
 			serveCommand(stdout), platformCommand(stdout), checkCommand(stdout), sheet.New(sheet.Options{OpenLog: openLog}), statusCommand(stdout), metricsCommand(stdout), entriesCommand(stdout),
-			callCommand(stdout), settingsCommand(stdout), versionCommand(stdout),
+			callCommand(stdout), explainCommand(stdout), settingsCommand(stdout), versionCommand(stdout),
 		},
 	}
 	for _, c := range root.Commands {
--- a/internal/entry/opaque/opaque.go
+++ b/internal/entry/opaque/opaque.go
@@ -31,6 +31,8 @@
 type Codec interface {
 	// Decode makes an exchange of a request whose body was not read yet. The error is a refusal.
 	Decode(r *http.Request, routes *qm.Routes, now time.Time) (*qm.Exchange, error)
+	// Request returns the id of a request, empty if it has none.
+	Request(r *http.Request) qm.RequestID
 	// Answer copies the headers of an endpoint's answer to that for the caller.
 	Answer(to http.Header, a *qm.Answer)
 	// Refuse sets the headers of an answer that the router makes itself.
@@ -171,7 +173,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	h.deps.Codec.Refuse(w.Header(), r, e)
-	h.deps.Log.Info("request refused", logs.Step, e.Step, logs.Code, e.Code, logs.Outcome, e.Outcome, "Status", status,
+	h.deps.Log.Info("request refused", logs.RequestID, h.deps.Codec.Request(r), logs.Step, e.Step, logs.Code, e.Code, logs.Outcome, e.Outcome, "Status", status,
 		"Message", e.Message, "Method", r.Method, "Host", r.Host, "Path", r.URL.Path)
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	w.WriteHeader(status)
--- a/internal/entry/opaque/opaque_test.go
+++ b/internal/entry/opaque/opaque_test.go
@@ -32,6 +32,7 @@
 		Deadline: now.Add(time.Second),
 	}, nil
 }
+func (codec) Request(*http.Request) qm.RequestID  { return "r" }
 func (codec) Answer(to http.Header, a *qm.Answer) { to.Set("From", a.Header.Get("From")) }
 func (codec) Refuse(to http.Header, _ *http.Request, e *qm.Error) {
 	to.Set("Outcome", string(e.Outcome))
--- a/internal/route/exchg/exchg.go
+++ b/internal/route/exchg/exchg.go
@@ -12,6 +12,7 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
 
@@ -403,9 +404,15 @@
 		r.deps.Log.Error(err, "request failed", keys...)
 		return
 	}
-	if len(t.path) > 1 {
+	switch {
+	case len(t.path) > 1:
 		r.deps.Log.Info("request answered after a retry", keys...)
-		return
+	case xxhash.Sum64String(string(x.Request))%sampled == 0:
+		r.deps.Log.Info("request answered", keys...)
+	default:
+		r.deps.Log.V(1).Info("request answered", keys...)
 	}
-	r.deps.Log.V(1).Info("request answered", keys...)
 }
+
+// sampled is the number of ordinary answers of which one is logged.
+const sampled = 16
