--- a/internal/cli/verbs/explain_test.go
+++ b/internal/cli/verbs/explain_test.go
@@ -1,17 +1,19 @@
-package verbs
+package verbs_test
 
 import (
 	"bytes"
 	"os"
 	"path/filepath"
 	"testing"
+
+	"quetzalmount.dev/quetzalmount/internal/cli/verbs"
 )
 
 // TestExplain compares what is printed of a request that two instances logged with the golden file.
 func TestExplain(t *testing.T) {
 	var out, errs bytes.Buffer
 	args := []string{"quetzalmount", "explain", "--request", "r-1", filepath.Join("testdata", "explain-a.log"), filepath.Join("testdata", "explain-b.log")}
-	if code := Main(t.Context(), args, &out, &errs); code != ExitOK {
+	if code := verbs.Main(t.Context(), args, &out, &errs); code != verbs.ExitOK {
 		t.Fatalf("exit code %d: %s", code, &errs)
 	}
 	golden := filepath.Join("testdata", "explain.golden")
@@ -28,7 +30,7 @@
 		t.Errorf("got:\n%swant:\n%s", &out, want)
 	}
 	args[3] = "nobody"
-	if code := Main(t.Context(), args, &out, &errs); code != ExitFailure {
+	if code := verbs.Main(t.Context(), args, &out, &errs); code != verbs.ExitFailure {
 		t.Errorf("a request that no line names: exit code %d", code)
 	}
 }
