--- a/route.go
+++ b/route.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // RouteID names a route.
@@ -108,8 +110,9 @@
 	return best
 }
 
-// Choose returns the group for a point from 0 up to 1, in proportion to the weights of the shares.
-func (r *Route) Choose(point float64) (GroupID, bool) {
+// Choose returns the group for a request in proportion to the weights of the shares. It is the same for the same id, and the shares
+// hold for any sample of requests.
+func (r *Route) Choose(id RequestID) (GroupID, bool) {
 	total := 0
 	for _, s := range r.Shares {
 		total += s.Weight
@@ -117,7 +120,7 @@
 	if total <= 0 {
 		return "", false
 	}
-	at := int(point * float64(total))
+	at := int(xxhash.Sum64String(string(id)) % uint64(total))
 	for _, s := range r.Shares {
 		if at < s.Weight {
 			return s.Group, true
--- /dev/null
+++ b/route_test.go
@@ -0,0 +1,67 @@
+package quetzalmount_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	qm "quetzalmount.dev/quetzalmount"
+)
+
+func ExampleRoutes_Find() {
+	long, short := &qm.Route{ID: "long", Prefix: "/a/b/"}, &qm.Route{ID: "short", Prefix: "/a/"}
+	routes := &qm.Routes{Hosts: map[string][]*qm.Route{"api.example": {long, short}}}
+	for _, path := range []string{"/a/b/c", "/a/x", "/b"} {
+		if r, ok := routes.Find("API.example:8080", path); ok {
+			fmt.Println(path, r.ID)
+		} else {
+			fmt.Println(path, "no route")
+		}
+	}
+	// Output:
+	// /a/b/c long
+	// /a/x short
+	// /b no route
+}
+
+// TestChoose guards against shares that do not hold, and against a request whose group changes when it is asked for again.
+func TestChoose(t *testing.T) {
+	r := &qm.Route{Shares: []qm.Share{{Group: "a", Weight: 90}, {Group: "b", Weight: 10}, {Group: "c"}}}
+	counts := map[qm.GroupID]int{}
+	const n = 20000
+	for i := range n {
+		id := qm.RequestID(fmt.Sprint("request-", i))
+		g, ok := r.Choose(id)
+		if again, _ := r.Choose(id); !ok || again != g {
+			t.Fatalf("request %s goes to %s, then to %s", id, g, again)
+		}
+		counts[g]++
+	}
+	if b := float64(counts["b"]) / n; math.Abs(b-0.1) > 0.01 || counts["c"] != 0 {
+		t.Errorf("counts %v, want nine tenths for a, one for b and none for c", counts)
+	}
+	if g, ok := (&qm.Route{}).Choose("x"); ok {
+		t.Errorf("a route without shares leads to %q", g)
+	}
+}
+
+// TestLeast guards against weights that are used for too long after newer ones were named, also when newer ones yet follow or the time
+// is learned from another router.
+func TestLeast(t *testing.T) {
+	now := time.Unix(1000, 0)
+	w := qm.Weights{Version: "2", Number: 2, SeenAt: now}
+	w = qm.Weights{Version: "3", Number: 3, SeenAt: now.Add(5 * time.Second)}.After(w)
+	for after, want := range map[time.Duration]int64{9 * time.Second: 0, 11 * time.Second: 2, 16 * time.Second: 3} {
+		if got := w.Least(now.Add(after), 10*time.Second); got != want {
+			t.Errorf("after %v: weights from %d on may be used, want %d", after, got, want)
+		}
+	}
+	learned := w.SeenBefore(3, now.Add(-20*time.Second)).SeenBefore(1, now.Add(-time.Hour)).SeenBefore(9, now)
+	if got := learned.Least(now, 10*time.Second); got != 3 {
+		t.Errorf("after another router told that they are older: %d, want 3", got)
+	}
+	if w.Least(now, 10*time.Second) != 0 {
+		t.Error("the weights that were learned from changed")
+	}
+}
