Choose usable endpoints in one place

exchg and relay each had the same choice: no leaving endpoint, and none with an open breaker unless all are open. Both call quetzalmount.Usable now, with their own condition. Run: the tests of the root package, relay, exchg and invoke, vet and revive on them.

--- a/internal/route/exchg/exchg.go
+++ b/internal/route/exchg/exchg.go
@@ -367,21 +367,9 @@
 // usable returns the endpoints of the exchange's group that may take it.
 func (r *Runner) usable(x *qm.Exchange, exclude []qm.EndpointID) []*qm.Endpoint {
 	all, _ := r.deps.Board.Endpoints.Load()
-	var ready, open []*qm.Endpoint
-	for _, e := range all {
-		if e.Group != x.Group || e.State == qm.Leaving || slices.Contains(exclude, e.ID) {
-			continue
-		}
-		if r.deps.Health.Ready(e.ID) {
-			ready = append(ready, e)
-		} else {
-			open = append(open, e)
-		}
-	}
-	if len(ready) == 0 {
-		return open
-	}
-	return ready
+	return qm.Usable(all, r.deps.Health, func(e *qm.Endpoint) bool {
+		return e.Group == x.Group && !slices.Contains(exclude, e.ID)
+	})
 }
 
 func millis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
--- a/internal/route/relay/engines.go
+++ b/internal/route/relay/engines.go
@@ -7,25 +7,12 @@
 	qm "quetzalmount.dev/quetzalmount"
 )
 
-// usable returns the engines of a group that may take a new request. Engines whose circuit breaker is open are left out
-// unless all are open, because a request that may fail is better than one that surely does.
+// usable returns the engines of a group that may take a new request.
 func (r *Relay) usable(group qm.GroupID, exclude []qm.EndpointID) []*qm.Endpoint {
 	all, _ := r.deps.Board.Endpoints.Load()
-	var usable, open []*qm.Endpoint
-	for _, e := range all {
-		if e.Kind != qm.KindEngine || e.Group != group || e.State == qm.Leaving || slices.Contains(exclude, e.ID) {
-			continue
-		}
-		if r.deps.Health.Ready(e.ID) {
-			usable = append(usable, e)
-		} else {
-			open = append(open, e)
-		}
-	}
-	if len(usable) == 0 {
-		return open
-	}
-	return usable
+	return qm.Usable(all, r.deps.Health, func(e *qm.Endpoint) bool {
+		return e.Kind == qm.KindEngine && e.Group == group && !slices.Contains(exclude, e.ID)
+	})
 }
 
 // versionOf returns the weights that an engine has. An engine that was not asked yet is taken to have the desired ones; it
--- a/ports.go
+++ b/ports.go
@@ -274,3 +274,23 @@
 	// Retry takes one retry and reports whether there was one.
 	Retry(team TeamID) bool
 }
+
+// Usable returns the endpoints that may take a request. Those whose circuit breaker is open are left out unless all are open, because a
+// request that may fail is better than one that surely does.
+func Usable(all Endpoints, h Health, may func(*Endpoint) bool) []*Endpoint {
+	var ready, open []*Endpoint
+	for _, e := range all {
+		if e.State == Leaving || !may(e) {
+			continue
+		}
+		if h.Ready(e.ID) {
+			ready = append(ready, e)
+		} else {
+			open = append(open, e)
+		}
+	}
+	if len(ready) == 0 {
+		return open
+	}
+	return ready
+}
