Log changed beliefs, name callers that left, and time the steps of requests

Cause: the roster changed its mind about endpoints and routers without a line; a caller that left was logged as a time-out; error lines carried stack traces; the line of a refusal had two fields named Message, so that a log pipeline lost the message of the line.

--- a/cmd/standin/main_test.go
+++ b/cmd/standin/main_test.go
@@ -3,13 +3,14 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
 	"time"
+
+	"quetzalmount.dev/quetzalmount/internal/standin/ports"
 )
 
 // TestCommands guards against subcommands whose flags do not parse, that serve nothing, or that do not stop.
@@ -51,15 +52,13 @@
 	}
 }
 
-// freeAddr returns an address that was free a moment ago.
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	a, err := ports.Free()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return a
 }
 
 // TestEngineFinishesStreams guards against a planned stop that cuts the streams of an engine.
--- a/errors.go
+++ b/errors.go
@@ -55,6 +55,8 @@
 	CodeAnsweredError Code = "EndpointAnsweredError"
 	// CodeOverload means that a request could not be answered in time, so that it was not started.
 	CodeOverload Code = "Overload"
+	// CodeCallerLeft means that the caller closed its connection before its answer was whole. Nobody is left to see it.
+	CodeCallerLeft Code = "CallerLeft"
 )
 
 // statusOf maps codes to HTTP status codes.
--- a/internal/entry/e2e/harness_test.go
+++ b/internal/entry/e2e/harness_test.go
@@ -25,6 +25,7 @@
 	"quetzalmount.dev/quetzalmount/internal/standin/loadgn"
 	"quetzalmount.dev/quetzalmount/internal/standin/logsrv"
 	"quetzalmount.dev/quetzalmount/internal/standin/lstsrv"
+	"quetzalmount.dev/quetzalmount/internal/standin/ports"
 )
 
 // bin is the folder with the built programs.
@@ -119,26 +120,13 @@
 	procs    []*process
 }
 
-// Ports of the processes lie below the range from which the system takes ports of outgoing connections. A port from that range
-// may be taken while its process restarts.
-const firstPort, lastPort = 23000, 32000
-
-var nextPort = firstPort + os.Getpid()%4000
-
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	for range lastPort - firstPort {
-		if nextPort++; nextPort > lastPort {
-			nextPort = firstPort
-		}
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", nextPort))
-		if err == nil {
-			_ = l.Close()
-			return l.Addr().String()
-		}
+	a, err := ports.Free()
+	if err != nil {
+		t.Fatal(err)
 	}
-	t.Fatal("no free port")
-	return ""
+	return a
 }
 
 // start runs a program and ends it with the test.
--- a/internal/entry/opaque/opaque.go
+++ b/internal/entry/opaque/opaque.go
@@ -174,7 +174,7 @@
 	}
 	h.deps.Codec.Refuse(w.Header(), r, e)
 	h.deps.Log.Info("request refused", logs.RequestID, h.deps.Codec.Request(r), logs.Step, e.Step, logs.Code, e.Code, logs.Outcome, e.Outcome, "Status", status,
-		"Message", e.Message, "Method", r.Method, "Host", r.Host, "Path", r.URL.Path)
+		"Reason", e.Message, "Method", r.Method, "Host", r.Host, "Path", r.URL.Path)
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	w.WriteHeader(status)
 	_, _ = io.WriteString(w, e.Message+"\n")
--- a/internal/entry/server/parts.go
+++ b/internal/entry/server/parts.go
@@ -167,6 +167,7 @@
 	p.roster = roster.New(ctx, roster.Options{
 		Board: p.board, Self: p.self(), List: p.readList, Load: p.readLoad, Probe: probe, Changed: p.incarnationChanged,
 		ListEvery: p.settings.ListEvery, PollEvery: p.settings.LoadEvery, PollsPerRound: p.settings.PollsPerRound,
+		Log: p.log.WithName("roster"),
 	})
 	p.onClose(p.roster.Close)
 	p.adviser = advice.New(p.board, advice.Options{Validity: p.settings.AdviceValidity})
--- a/internal/infra/logs/logs.go
+++ b/internal/infra/logs/logs.go
@@ -48,6 +48,38 @@
 		EncodeLevel:    zapcore.LowercaseLevelEncoder,
 		EncodeDuration: zapcore.SecondsDurationEncoder,
 	}
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(cfg), zapcore.Lock(zapcore.AddSync(w)), l)
+	core := oneLine{zapcore.NewCore(zapcore.NewJSONEncoder(cfg), zapcore.Lock(zapcore.AddSync(w)), l)}
 	return zapr.NewLoggerWithOptions(zap.New(core), zapr.ErrorKey("Error")), nil
 }
+
+// oneLine is a core that writes errors as their message alone. zap would add the stack trace of each error that has one, which makes a
+// line ten times as long and tells operators nothing.
+type oneLine struct{ zapcore.Core }
+
+// With implements zapcore.Core.
+func (c oneLine) With(fields []zapcore.Field) zapcore.Core {
+	return oneLine{c.Core.With(messages(fields))}
+}
+
+// Check implements zapcore.Core.
+func (c oneLine) Check(e zapcore.Entry, checked *zapcore.CheckedEntry) *zapcore.CheckedEntry {
+	if !c.Enabled(e.Level) {
+		return checked
+	}
+	return checked.AddCore(e, c)
+}
+
+// Write implements zapcore.Core.
+func (c oneLine) Write(e zapcore.Entry, fields []zapcore.Field) error {
+	return errors.Wrap(c.Core.Write(e, messages(fields)), "write log line")
+}
+
+// messages replaces errors by their messages.
+func messages(fields []zapcore.Field) []zapcore.Field {
+	for i, f := range fields {
+		if err, ok := f.Interface.(error); ok && f.Type == zapcore.ErrorType {
+			fields[i] = zap.String(f.Key, err.Error())
+		}
+	}
+	return fields
+}
--- a/internal/infra/logs/logs_test.go
+++ b/internal/infra/logs/logs_test.go
@@ -28,6 +28,9 @@
 			t.Errorf("%s = %v, want %q", key, line[key], want)
 		}
 	}
+	if len(line) != 6 {
+		t.Errorf("line has other keys than those given, time, level and message: %s", b.String())
+	}
 }
 
 // TestNewRefusesLevel guards against a misspelt level that silences the log.
--- a/internal/infra/meter/meter_test.go
+++ b/internal/infra/meter/meter_test.go
@@ -1,6 +1,7 @@
 package meter_test
 
 import (
+	"fmt"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -40,3 +41,30 @@
 		}
 	}
 }
+
+// TestSteps guards against steps and endpoints whose times nobody can see, and against series without bound for endpoints that come and go.
+func TestSteps(t *testing.T) {
+	m := meter.New("entry-1", 1)
+	for _, step := range []meter.Step{meter.StepPlace, meter.StepHead, meter.StepFirst, meter.StepRest} {
+		m.Step(step, 3*time.Millisecond)
+	}
+	for i := range 500 {
+		e := m.Endpoint(qm.EndpointID(fmt.Sprint("e", i)))
+		e.First(time.Millisecond)
+		e.Ended(i%2 == 0)
+	}
+	if err := m.Close(); err != nil {
+		t.Fatal(err)
+	}
+	out := scrape(t, m)
+	for _, want := range []string{
+		`step="place"`, `step="head"`, `step="first"`, `step="rest"`, `endpoint="e0"`, `endpoint="other"`, `result="failed"`, "quetzalmount_endpoint_first_seconds_bucket",
+	} {
+		if !strings.Contains(out, want) {
+			t.Errorf("scrape lacks %s", want)
+		}
+	}
+	if strings.Contains(out, `endpoint="e499"`) {
+		t.Error("every endpoint has series of its own")
+	}
+}
--- a/internal/member/roster/endpoint.go
+++ b/internal/member/roster/endpoint.go
@@ -8,6 +8,7 @@
 	"time"
 
 	qm "quetzalmount.dev/quetzalmount"
+	"quetzalmount.dev/quetzalmount/internal/infra/logs"
 )
 
 // entry is what is known of an endpoint.
@@ -70,6 +71,7 @@
 	}
 	for id := range r.endpoints {
 		if !seen[id] {
+			r.opts.Log.Info("endpoint forgotten", logs.Endpoint, id, "ListedAgeMs", ageMs(r.endpoints[id].view.ListedAt))
 			delete(r.endpoints, id)
 			r.sorted, r.newEndpoints = nil, true
 		}
@@ -80,12 +82,28 @@
 // setEntry replaces the view of an endpoint. The caller holds r.mu.
 func (r *Roster) setEntry(e *entry, v *qm.Endpoint) {
 	v.State = e.state()
+	if v.State != e.view.State {
+		r.opts.Log.Info("endpoint state", logs.Endpoint, v.ID, "Address", v.Address, "From", e.view.State, "To", v.State,
+			"ListedLeaving", e.listedLeaving, "SaidLeaving", e.saidLeaving, "Suspect", e.suspect, "Failures", e.failures,
+			"LoadingMs", max(0, time.Until(e.loadingUntil).Milliseconds()), "ListedAgeMs", ageMs(v.ListedAt))
+	}
+	if v.Version != e.view.Version && e.view.ID != "" {
+		r.opts.Log.Info("endpoint has weights", logs.Endpoint, v.ID, "From", e.view.Version, "To", v.Version, "ListedAgeMs", ageMs(e.view.ListedAt))
+	}
 	if !sameView(e.view, v) {
 		e.view = v
 		r.newEndpoints = true
 	}
 }
 
+// ageMs returns the age of what was learned at a time in milliseconds, -1 if it never was.
+func ageMs(at time.Time) int64 {
+	if at.IsZero() {
+		return -1
+	}
+	return time.Since(at).Milliseconds()
+}
+
 // sameView compares all fields but the slices and maps, which change only together with ReportedAt or ListedAt.
 func sameView(a, b *qm.Endpoint) bool {
 	return a.ID == b.ID && a.Kind == b.Kind && a.Group == b.Group && a.Address == b.Address &&
@@ -107,6 +125,9 @@
 		return false
 	}
 	changed := e.view.Incarnation != ""
+	if changed {
+		r.opts.Log.Info("endpoint restarted", logs.Endpoint, e.view.ID, "From", e.view.Incarnation, "To", inc)
+	}
 	v := *e.view
 	v.Incarnation, v.Load, v.ReportedAt = inc, qm.Load{}, time.Time{}
 	e.saidLeaving, e.suspect, e.failures = false, false, 0
--- a/internal/member/roster/member.go
+++ b/internal/member/roster/member.go
@@ -6,6 +6,7 @@
 	"time"
 
 	qm "quetzalmount.dev/quetzalmount"
+	"quetzalmount.dev/quetzalmount/internal/infra/logs"
 )
 
 // member is what is known of a router.
@@ -58,6 +59,7 @@
 	}
 	for id := range r.members {
 		if !seen[id] {
+			r.opts.Log.Info("router forgotten", logs.Peer, id, "HeardAgeMs", ageMs(r.members[id].heard))
 			delete(r.members, id)
 			r.newMembers, r.moved = true, true
 		}
@@ -67,6 +69,13 @@
 // setMember replaces the view of a member, with the state that follows from what is known. The caller holds r.mu.
 func (r *Roster) setMember(m *member, view qm.Member) {
 	view.State = m.state()
+	if view.State != m.view.State && !view.Self {
+		r.opts.Log.Info("router state", logs.Peer, view.Instance, "Address", view.PeerAddress, "From", m.view.State, "To", view.State,
+			"ListedLeaving", m.listedLeaving, "SaidLeaving", m.saidLeaving, "Suspect", m.suspect, "HeardAgeMs", ageMs(m.heard), logs.Offset, view.TableOffset)
+	}
+	if m.view.Incarnation != "" && view.Incarnation != m.view.Incarnation {
+		r.opts.Log.Info("router restarted", logs.Peer, view.Instance, "From", m.view.Incarnation, "To", view.Incarnation)
+	}
 	r.moved = r.moved || m.view.State != view.State
 	if m.view != view {
 		m.view = view
--- a/internal/member/roster/options.go
+++ b/internal/member/roster/options.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	qm "quetzalmount.dev/quetzalmount"
 	"quetzalmount.dev/quetzalmount/internal/state/board"
 )
@@ -57,6 +59,8 @@
 	Load func(context.Context, *qm.Endpoint) (Report, error)
 	// Probe opens a new connection to an endpoint and closes it.
 	Probe func(context.Context, *qm.Endpoint) error
+	// Log takes a line for each changed belief about a router or an endpoint; the zero value drops them.
+	Log logr.Logger
 	// Changed is told when an endpoint answers with another incarnation than before. It must not call the Roster.
 	Changed func(qm.EndpointID, qm.Incarnation)
 
--- a/internal/route/exchg/exchg.go
+++ b/internal/route/exchg/exchg.go
@@ -149,25 +149,30 @@
 		return t.w.Whole(t.failure.answer, t.failure.body)
 	}
 	out := *e
-	if errors.Is(context.Cause(ctx), errGivenUp) {
+	switch {
+	case errors.Is(context.Cause(ctx), errGivenUp):
 		out.Code = qm.CodeTimeout
+	case ctx.Err() != nil, errors.Is(e, errCaller):
+		out.Code, out.Step, out.Message = qm.CodeCallerLeft, "deliver", "the caller left before its answer was whole"
 	}
 	if t.tally.runs > 0 {
 		out.Outcome = qm.Unknown
 	}
 	if t.begun {
-		return out.Because(errors.WithMessage(ErrBegun, e.Message))
+		return out.Because(errors.WithMessage(ErrBegun, out.Message))
 	}
 	return &out
 }
 
 // attempt offers the exchange to one endpoint and relays its answer.
 func (t *run) attempt(ctx context.Context) error {
+	began := time.Now()
 	p, err := t.place()
+	t.r.deps.Meter.Step(meter.StepPlace, time.Since(began))
 	if err != nil {
 		return err
 	}
-	began := time.Now()
+	began = time.Now()
 	err = t.send(ctx, p)
 	p.done(time.Now())
 	t.tally.add(err)
@@ -186,20 +191,25 @@
 
 // report tells health what became of an attempt.
 func (t *run) report(ctx context.Context, p *placed, err error) {
+	series := t.r.deps.Meter.Endpoint(p.decision.Endpoint.ID)
 	if err == nil {
+		series.Ended(true)
 		p.attempt.Succeeded()
 		return
 	}
-	switch e := qm.AsError(err); {
-	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errGivenUp), errors.Is(err, errCaller):
+	e := qm.AsError(err)
+	if errors.Is(err, errCaller) || ctx.Err() != nil && !errors.Is(context.Cause(ctx), errGivenUp) {
 		// The caller left; the endpoint is not to blame.
 		p.attempt.Abandoned()
-	case e.Code == qm.CodeEndpointFull, e.Code == qm.CodeMisdirected, e.Code == qm.CodeAnsweredError:
+		return
+	}
+	series.Ended(false)
+	t.exclude = append(t.exclude, p.decision.Endpoint.ID)
+	switch e.Code {
+	case qm.CodeEndpointFull, qm.CodeMisdirected, qm.CodeAnsweredError:
 		p.attempt.Abandoned()
-		t.exclude = append(t.exclude, p.decision.Endpoint.ID)
 	default:
 		p.attempt.Failed(err)
-		t.exclude = append(t.exclude, p.decision.Endpoint.ID)
 	}
 }
 
@@ -210,7 +220,10 @@
 	stall := newStall(cancel)
 	defer stall.stop()
 	stall.set(patience(t.x, t.tally, false, p.decision.Expected, time.Until(t.x.GiveUp)))
+	p.sent = time.Now()
 	a, err := t.r.deps.Carrier.Send(ctx, t.x, p.offer)
+	p.head = time.Now()
+	t.r.deps.Meter.Step(meter.StepHead, p.head.Sub(p.sent))
 	if err != nil {
 		return t.cause(ctx, p, err)
 	}
@@ -253,7 +266,7 @@
 		return qm.Fail(qm.CodeEndpoint, "resume", p.decision.Endpoint.Address, errors.Errorf("status %d", a.Status))
 	}
 	t.first = time.Since(t.x.Received)
-	p.first(time.Now())
+	t.began(p, time.Now())
 	if err := t.w.Whole(a, body); err != nil {
 		return errors.WithMessage(errCaller, err.Error())
 	}
@@ -269,13 +282,14 @@
 		}
 		t.begun = true
 	}
-	got := false
+	got, began := false, time.Time{}
 	for {
 		raw, id, err := ev.next()
 		if isEnd(err) {
 			if !got {
 				return qm.Fail(qm.CodeEndpoint, "read events", p.decision.Endpoint.Address, errors.New("the stream has no events"))
 			}
+			t.r.deps.Meter.Step(meter.StepRest, time.Since(began))
 			if err := t.w.End(); err != nil {
 				return errors.WithMessage(errCaller, err.Error())
 			}
@@ -289,7 +303,8 @@
 			if t.first == 0 {
 				t.first = time.Since(t.x.Received)
 			}
-			p.first(time.Now())
+			began = time.Now()
+			t.began(p, began)
 		}
 		stall.set(patience(t.x, t.tally, true, 0, time.Until(t.x.GiveUp)))
 		if seen(id, t.last) {
@@ -356,10 +371,15 @@
 	decision qm.Decision
 	offer    qm.Offer
 	attempt  qm.Attempt
+	// sent is when the offer was sent, head when the head of the answer came.
+	sent, head time.Time
 }
 
-func (p *placed) first(now time.Time) {
+// began tells that the answer has begun, or is there whole.
+func (t *run) began(p *placed, now time.Time) {
 	p.placer.FirstToken(p.request, p.decision, p.decision.Hit, now)
+	t.r.deps.Meter.Step(meter.StepFirst, now.Sub(p.head))
+	t.r.deps.Meter.Endpoint(p.decision.Endpoint.ID).First(now.Sub(p.sent))
 }
 
 func (p *placed) done(now time.Time) { p.placer.Finished(p.request, p.decision, now) }
--- a/internal/route/exchg/exchg_test.go
+++ b/internal/route/exchg/exchg_test.go
@@ -217,13 +217,16 @@
 		s := &script{steps: []func(context.Context) (*qm.Answer, error){hangs(""), answers(200, "ok", nil)}}
 		ctx, cancel := context.WithCancel(t.Context())
 		time.AfterFunc(100*time.Millisecond, cancel)
-		if err := newRunner(t, s).Run(ctx, exchange(qm.Idempotent), &writer{}); err == nil {
-			t.Error("Run() succeeded without a caller")
-		}
+		err := newRunner(t, s).Run(ctx, exchange(qm.Idempotent), &writer{})
+		checkError(t, err, qm.CodeCallerLeft, qm.Unknown, false)
 		if len(s.offers) != 1 {
 			t.Errorf("%d offers, want 1", len(s.offers))
 		}
 	})
+	// A caller that can't be written to has left as well.
+	s := &script{steps: []func(context.Context) (*qm.Answer, error){answers(200, event1+event2, nil)}}
+	err := newRunner(t, s).Run(t.Context(), exchange(qm.Streaming), &writer{err: errors.New("broken pipe")})
+	checkError(t, err, qm.CodeCallerLeft, qm.Unknown, false)
 }
 
 func exchange(k qm.Kind) *qm.Exchange {
