Collect the loads of large systems in cells

Cause: beyond nine routers each heard a sample of six and scaled it up; an engine has some nine requests, each at another router, so that the estimate was off by 4.2 requests where the mean is 9.2. Now routers report to the collector of their cell, collectors trade sums: one trade a round for a member, about two times the square root of the number of routers for a collector.

--- a/internal/member/loads/loads.go
+++ b/internal/member/loads/loads.go
@@ -1,8 +1,7 @@
 // Package loads estimates the work that all routers together have at each endpoint.
 //
-// Every router counts its own work and trades the counts with a few others several times a second. What the others have is estimated
-// from those that were heard lately, scaled to the number of routers, so that the cost of a router does not grow with their number. In
-// a small system every router hears all others.
+// Every router counts its own work and trades the counts several times a second: in a small system with all others, in a large one with
+// the collector of its cell. Routers that were not heard are taken to have as much work as those that were.
 package loads
 
 import (
@@ -26,6 +25,8 @@
 	Fanout = 3
 	// fresh is the age up to which the counts of another router are used.
 	fresh = 400 * time.Millisecond
+	// tradeTime bounds one trade; later its answer would be too old.
+	tradeTime = 200 * time.Millisecond
 )
 
 // Trade trades the own counts with those of another router.
@@ -41,6 +42,8 @@
 	Trade   Trade
 	Publish Publish
 	Every   time.Duration
+	// Few is the number of routers up to which each trades with others directly; 0 means always.
+	Few int
 }
 
 // count is the work at one endpoint.
@@ -55,10 +58,11 @@
 
 func (c count) minus() count { return count{-c.requests, -c.once, -c.pending} }
 
-// heard is what another router said.
+// heard is what was heard of the work of one or several routers.
 type heard struct {
-	at     time.Time
-	counts map[qm.EndpointID]count
+	at      time.Time
+	routers int
+	counts  map[qm.EndpointID]count
 }
 
 // Book counts the own work and estimates that of all routers. It is safe for concurrent use.
@@ -70,7 +74,10 @@
 	own map[qm.EndpointID]count
 	// flights are the own requests, each with the endpoint that it is at.
 	flights map[*qm.PlaceRequest]flight
-	others  map[qm.InstanceID]heard
+	// others is what other routers said of themselves, cells what collectors said of their cells, rest what the collector of the own cell
+	// said of all other routers. collects tells that this router is a collector.
+	others, cells, rest map[qm.InstanceID]heard
+	collects            bool
 }
 
 // New starts to trade. It ends with the context or with Close.
@@ -80,7 +87,7 @@
 	}
 	b := &Book{
 		opts: opts, own: make(map[qm.EndpointID]count), flights: make(map[*qm.PlaceRequest]flight),
-		others: make(map[qm.InstanceID]heard),
+		others: make(map[qm.InstanceID]heard), cells: make(map[qm.InstanceID]heard), rest: make(map[qm.InstanceID]heard),
 	}
 	b.loop = period.New(ctx, opts.Every, b.round)
 	return b
@@ -138,44 +145,82 @@
 	b.own[id] = sum
 }
 
-// round trades with a few routers and publishes the estimate.
+// round trades and publishes the estimate.
 func (b *Book) round(ctx context.Context) {
 	members, _ := b.opts.Board.Members.Load()
-	var peers []qm.Member
+	var live, peers []qm.Member
 	for _, m := range members {
+		if m.Self || m.State == qm.Live && m.PeerAddress != "" {
+			live = append(live, m)
+		}
 		if !m.Self && m.State == qm.Live && m.PeerAddress != "" {
 			peers = append(peers, m)
 		}
 	}
+	if b.opts.Few > 0 && len(live) > b.opts.Few {
+		b.cellRound(ctx, live)
+	} else {
+		b.directRound(ctx, peers)
+	}
+	if ctx.Err() == nil {
+		b.opts.Publish(b.Estimate(len(peers), time.Now()))
+	}
+}
+
+// directRound trades with a few routers.
+func (b *Book) directRound(ctx context.Context, peers []qm.Member) {
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	var wg sync.WaitGroup
 	for _, m := range peers[:min(Fanout, len(peers))] {
 		wg.Go(func() {
-			theirs, err := b.opts.Trade(ctx, m, b.share())
-			if err != nil {
-				return // the exchange of the peers finds out what is wrong and logs it
+			if theirs, err := b.trade(ctx, m, b.share(peerpb.LoadScope_LOAD_SCOPE_OWN)); err == nil {
+				b.take(theirs)
 			}
-			b.take(theirs)
 		})
 	}
 	wg.Wait()
-	if ctx.Err() == nil {
-		b.opts.Publish(b.Estimate(len(peers), time.Now()))
-	}
 }
 
-// Traded takes the counts of a router that trades with this one and returns the own ones.
+// trade trades with one router. An error is not logged: the exchange between the routers finds out what is wrong and logs it.
+func (b *Book) trade(ctx context.Context, m qm.Member, own *peerpb.LoadShare) (*peerpb.LoadShare, error) {
+	ctx, cancel := context.WithTimeout(ctx, tradeTime)
+	defer cancel()
+	return b.opts.Trade(ctx, m, own)
+}
+
+// Traded takes what a router that trades with this one said and returns the answer.
 func (b *Book) Traded(theirs *peerpb.LoadShare) *peerpb.LoadShare {
-	b.take(theirs)
-	return b.share()
+	now := time.Now()
+	switch theirs.GetScope() {
+	case peerpb.LoadScope_LOAD_SCOPE_MEMBER:
+		b.keep(theirs, now)
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		counts, routers := b.allBut(now, qm.InstanceID(theirs.GetInstance()))
+		return b.encode(peerpb.LoadScope_LOAD_SCOPE_MEMBER, counts, routers)
+	case peerpb.LoadScope_LOAD_SCOPE_CELL:
+		b.keep(theirs, now)
+		return b.share(peerpb.LoadScope_LOAD_SCOPE_CELL)
+	}
+	b.keep(theirs, now)
+	return b.share(peerpb.LoadScope_LOAD_SCOPE_OWN)
 }
 
-// share returns the own counts.
-func (b *Book) share() *peerpb.LoadShare {
+// share returns the own counts, or those of the own cell.
+func (b *Book) share(scope peerpb.LoadScope) *peerpb.LoadShare {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	out := &peerpb.LoadShare{Instance: string(b.opts.Self)}
-	for id, c := range b.own {
+	if scope != peerpb.LoadScope_LOAD_SCOPE_CELL {
+		return b.encode(scope, b.own, 1)
+	}
+	counts, routers := b.cellSum(time.Now(), "")
+	return b.encode(scope, counts, routers)
+}
+
+// encode returns counts as a message.
+func (b *Book) encode(scope peerpb.LoadScope, counts map[qm.EndpointID]count, routers int) *peerpb.LoadShare {
+	out := &peerpb.LoadShare{Instance: string(b.opts.Self), Scope: scope, Routers: int32(routers)}
+	for id, c := range counts {
 		out.Loads = append(out.Loads, &peerpb.EndpointLoad{
 			Endpoint: string(id), Requests: int32(c.requests), PendingTokens: int64(c.pending), Once: int32(c.once),
 		})
@@ -183,32 +228,43 @@
 	return out
 }
 
-// take keeps the counts of another router.
-func (b *Book) take(s *peerpb.LoadShare) {
-	h := heard{at: time.Now(), counts: make(map[qm.EndpointID]count, len(s.GetLoads()))}
+// decode returns the counts of a message.
+func decode(s *peerpb.LoadShare, now time.Time) heard {
+	h := heard{at: now, routers: max(1, int(s.GetRouters())), counts: make(map[qm.EndpointID]count, len(s.GetLoads()))}
 	for _, l := range s.GetLoads() {
 		h.counts[qm.EndpointID(l.GetEndpoint())] = count{int(l.GetRequests()), int(l.GetOnce()), qm.Tokens(l.GetPendingTokens())}
 	}
+	return h
+}
+
+// keep keeps the counts that another router sent.
+func (b *Book) keep(s *peerpb.LoadShare, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if id := qm.InstanceID(s.GetInstance()); s.GetScope() == peerpb.LoadScope_LOAD_SCOPE_CELL {
+		b.cells[id] = decode(s, now)
+	} else {
+		b.others[id] = decode(s, now)
+	}
+}
+
+// take keeps the counts that another router answered with. In answer to a member they are those of all other routers.
+func (b *Book) take(s *peerpb.LoadShare) {
+	if s.GetScope() != peerpb.LoadScope_LOAD_SCOPE_MEMBER {
+		b.keep(s, time.Now())
+		return
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.others[qm.InstanceID(s.GetInstance())] = h
+	clear(b.rest)
+	b.rest[qm.InstanceID(s.GetInstance())] = decode(s, time.Now())
 }
 
 // Estimate returns the work at each endpoint if there are others routers beside this one.
 func (b *Book) Estimate(others int, now time.Time) map[qm.EndpointID]qm.Load {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	sums, n := map[qm.EndpointID]count{}, 0
-	for id, h := range b.others {
-		if now.Sub(h.at) > fresh {
-			delete(b.others, id)
-			continue
-		}
-		n++
-		for e, c := range h.counts {
-			sums[e] = sums[e].plus(c)
-		}
-	}
+	sums, n := b.heardOf(others, now)
 	scale := 0.0
 	if n > 0 {
 		scale = math.Max(1, float64(others)/float64(n))
@@ -230,6 +286,22 @@
 	return out
 }
 
+// heardOf returns the work of other routers as far as it was heard, and the number of those routers. The caller holds mu.
+func (b *Book) heardOf(others int, now time.Time) (map[qm.EndpointID]count, int) {
+	if b.opts.Few == 0 || others < b.opts.Few {
+		return sumOf(b.others, now, "")
+	}
+	if !b.collects {
+		return sumOf(b.rest, now, "")
+	}
+	sums, n := sumOf(b.others, now, "")
+	cells, m := sumOf(b.cells, now, "")
+	for e, c := range cells {
+		sums[e] = sums[e].plus(c)
+	}
+	return sums, n + m
+}
+
 // Counted is a placer whose decisions are counted.
 type Counted struct {
 	qm.Placer
