Add a soak of processes on loopback

It plays troubles drawn from a seed on real routers, engines and the store, through links that can be harmed, and checks the promises while it runs.

--- /dev/null
+++ b/cmd/soak/main.go
@@ -0,0 +1,102 @@
+// Command soak runs routers, engines and the platform's store as separate processes on this machine, harms them and their connections at
+// random, and checks the promises to callers and operators while callers send requests. It prints one line for each seed.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+	"golang.org/x/sync/errgroup"
+
+	"quetzalmount.dev/quetzalmount/internal/soak/round"
+)
+
+func main() {
+	if err := command(os.Stdout).Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "soak:", err)
+		os.Exit(1)
+	}
+}
+
+func command(stdout io.Writer) *cli.Command {
+	return &cli.Command{
+		Name: "soak", Usage: "harm a deployment on this machine at random and check its promises",
+		Flags: []cli.Flag{
+			&cli.Uint64SliceFlag{Name: "seed", Usage: "play this `SEED`, may be repeated; without it fresh seeds are drawn"},
+			&cli.IntFlag{Name: "rounds", Value: 1, Usage: "number of fresh seeds"},
+			&cli.IntFlag{Name: "jobs", Value: 2, Usage: "rounds at the same time"},
+			&cli.DurationFlag{Name: "length", Value: 15 * time.Second, Usage: "time in which troubles begin"},
+			&cli.IntFlag{Name: "troubles", Value: 16, Usage: "most troubles, or series of them, in a round"},
+			&cli.IntFlag{Name: "routers", Value: 4, Usage: "number of routers"},
+			&cli.IntFlag{Name: "engines", Value: 4, Usage: "number of model engines"},
+			&cli.IntFlag{Name: "desks", Value: 2, Usage: "number of processes of the plain service"},
+			&cli.IntFlag{Name: "callers", Value: 24, Usage: "number of callers"},
+			&cli.StringFlag{Name: "bin", Usage: "`DIR` with the programs; without it they are built"},
+			&cli.StringFlag{Name: "logs", Value: filepath.Join(os.TempDir(), "quetzalmount-soak"), Usage: "`DIR` for the logs of rounds that broke a promise"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error { return run(ctx, c, stdout) },
+	}
+}
+
+func run(ctx context.Context, c *cli.Command, stdout io.Writer) error {
+	bin := c.String("bin")
+	if bin == "" {
+		dir, err := os.MkdirTemp("", "quetzalmount-soak-bin")
+		if err != nil {
+			return errors.Wrap(err, "make folder for programs")
+		}
+		defer func() { _ = os.RemoveAll(dir) }()
+		build := exec.CommandContext(ctx, "go", "build", "-o", dir, "quetzalmount.dev/quetzalmount/cmd/quetzalmount", "quetzalmount.dev/quetzalmount/cmd/standin")
+		build.Stderr = os.Stderr
+		if err := build.Run(); err != nil {
+			return errors.Wrap(err, "build programs")
+		}
+		bin = dir
+	}
+	seeds := c.Uint64Slice("seed")
+	if len(seeds) == 0 {
+		for range c.Int("rounds") {
+			seeds = append(seeds, uint64(rand.Uint32()))
+		}
+	}
+	results := make(chan round.Result)
+	var g errgroup.Group
+	g.SetLimit(max(1, c.Int("jobs")))
+	done := make(chan error, 1)
+	go func() {
+		for _, seed := range seeds {
+			g.Go(func() error {
+				r, err := round.Play(round.Options{
+					Seed: seed, Bin: bin, Dir: c.String("logs"), Length: c.Duration("length"), Troubles: c.Int("troubles"),
+					Routers: c.Int("routers"), Engines: c.Int("engines"), Desks: c.Int("desks"), Callers: c.Int("callers"),
+				})
+				results <- r
+				return err
+			})
+		}
+		done <- g.Wait()
+		close(results)
+	}()
+	broken := 0
+	for r := range results {
+		fmt.Fprintln(stdout, r)
+		if len(r.Broken) > 0 {
+			broken++
+		}
+	}
+	if err := <-done; err != nil {
+		return err
+	}
+	if broken > 0 {
+		return errors.Errorf("%d of %d seeds broke a promise", broken, len(seeds))
+	}
+	return nil
+}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,4 +1,4 @@
-// Command standin runs one fake of an outside system (log, list, engine, service, weights, cache) or a load of callers. SIGTERM and SIGINT
+// Command standin runs one fake of an outside system (log, list, engine, service, weights, cache, the users' platform) or a load of callers. SIGTERM and SIGINT
 // stop it.
 package main
 
@@ -27,7 +27,7 @@
 		Usage: "fakes of the outside systems, for tests and the demo",
 		Commands: []*cli.Command{
 			logCommand(), listCommand(), engineCommand(), serviceCommand(), weightsCommand(), cacheCommand(),
-			loadCommand(), reportCommand(),
+			loadCommand(), reportCommand(), platformStoreCommand(), platformEngineCommand(),
 		},
 	}
 }
--- a/cmd/standin/main_test.go
+++ b/cmd/standin/main_test.go
@@ -28,6 +28,8 @@
 		{[]string{"engine", "--model", "m", "--adapter", "a", "--fence", "--load-lag", "0s"}, "/v1/load"},
 		{[]string{"service", "--dedupe", "--fence", "--work", "1ms"}, "/v1/operations/op"},
 		{[]string{"weights", "--load", "1ms", "--rate", "5"}, "/v1/weights/m/v1"},
+		{[]string{"platform-store"}, "/log-newest?topic=keyed.op"},
+		{[]string{"platform-engine", "--advertise", "127.0.0.1:1", "--store", "127.0.0.1:1", "--id", "e", "--service", "s", "--model", "m", "--drain", "0s"}, "/report"},
 		{[]string{"cache", "--blocks", "10", "--transfer", "0s"}, "/admin/faults"},
 	}
 	for _, tt := range tests {
--- /dev/null
+++ b/internal/soak/plan/plan_test.go
@@ -0,0 +1,56 @@
+package plan_test
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"quetzalmount.dev/quetzalmount/internal/soak/plan"
+)
+
+var update = flag.Bool("update", false, "write golden files")
+
+// TestNew guards against a seed that no longer brings back its troubles.
+func TestNew(t *testing.T) {
+	var b strings.Builder
+	for _, s := range plan.New(7, 15*time.Second, 12) {
+		b.WriteString(s.String() + "\n")
+	}
+	file := filepath.Join("testdata", "seed-7.txt")
+	if *update {
+		if err := os.WriteFile(file, []byte(b.String()), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(string(want), b.String()); diff != "" {
+		t.Errorf("the plan of seed 7 differs (-want +got):\n%s", diff)
+	}
+}
+
+// TestKinds guards against a kind of trouble that never comes.
+func TestKinds(t *testing.T) {
+	seen := map[plan.Kind]int{}
+	for seed := range uint64(100) {
+		for _, s := range plan.New(seed, 15*time.Second, 12) {
+			seen[s.Kind]++
+		}
+	}
+	for _, k := range []plan.Kind{
+		plan.RouterKill, plan.RouterStop, plan.RouterFreeze, plan.RouterReload, plan.RoutersRoll, plan.RoutersKill, plan.EngineKill,
+		plan.EngineRestart, plan.EngineDrain, plan.EngineFreeze, plan.EngineFault, plan.StoreOutage, plan.StoreTrim, plan.StoreLink,
+		plan.EngineLink, plan.CallerLink, plan.Configure, plan.Weights,
+	} {
+		if seen[k] < 10 {
+			t.Errorf("%s came %d times in 100 plans", k, seen[k])
+		}
+	}
+}
--- /dev/null
+++ b/internal/soak/round/round_test.go
@@ -0,0 +1,61 @@
+package round_test
+
+import (
+	"bufio"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"quetzalmount.dev/quetzalmount/internal/soak/round"
+)
+
+// seeds returns the seeds that broke a promise once, each with a line on the cause.
+func seeds(t *testing.T) []uint64 {
+	t.Helper()
+	f, err := os.Open(filepath.Join("testdata", "seeds.txt"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = f.Close() }()
+	var out []uint64
+	for s := bufio.NewScanner(f); s.Scan(); {
+		number, _, _ := strings.Cut(s.Text(), " ")
+		if number == "" || number == "#" {
+			continue
+		}
+		n, err := strconv.ParseUint(number, 10, 64)
+		if err != nil {
+			t.Fatalf("line %q: %v", s.Text(), err)
+		}
+		out = append(out, n)
+	}
+	return out
+}
+
+// TestShort plays a short round with a fixed seed, and whole rounds with the seeds that broke a promise once.
+func TestShort(t *testing.T) {
+	bin := t.TempDir()
+	build := exec.Command("go", "build", "-o", bin, "quetzalmount.dev/quetzalmount/cmd/quetzalmount", "quetzalmount.dev/quetzalmount/cmd/standin")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("build programs: %v\n%s", err, out)
+	}
+	play := func(seed uint64, length time.Duration, troubles int) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			r, err := round.Play(round.Options{
+				Seed: seed, Bin: bin, Dir: os.TempDir(), Length: length, Troubles: troubles, Routers: 3, Engines: 3, Desks: 2, Callers: 12,
+			})
+			if err != nil || len(r.Broken) > 0 {
+				t.Errorf("%v %v\n%s", r, err, strings.Join(r.Broken, "\n"))
+			}
+		})
+	}
+	play(1, 5*time.Second, 6)
+	for _, seed := range seeds(t) {
+		play(seed, 15*time.Second, 16)
+	}
+}
