Start the next load when one is due to have ended

TestRollOut: 13 s -> 12.1 s, its bound follows from the store's rate (12.4 s) and failed before. Engines without work at the same time: 3 -> 4 of 12.

--- a/internal/state/roll/roll.go
+++ b/internal/state/roll/roll.go
@@ -21,6 +21,9 @@
 	loadingShare = 5
 	// leastLoading is the least number of engines that load at the same time.
 	leastLoading = 2
+	// awayFactor times that part is the most engines that take no work at the same time: a load takes about as long as emptying the engine
+	// before and asking it afterwards.
+	awayFactor = 2
 	// emptyTime is how long an engine gets no new requests before it loads, for each engine of the model that much longer: most runs
 	// end in that time, and in larger systems it takes longer until all routers have heard of it.
 	emptyTime      = 500 * time.Millisecond
@@ -74,6 +77,8 @@
 // phase is where an engine is on its way to new weights.
 type phase struct {
 	loading bool
+	// loaded is when the load is expected to have ended.
+	loaded  time.Time
 	weights qm.Weights
 	inc     qm.Incarnation
 	// latest is when an engine that is emptied loads although it still runs requests.
@@ -105,7 +110,9 @@
 func (p *Plan) model(endpoints []*qm.Endpoint, model qm.ModelID, w qm.Weights, now time.Time) []Order {
 	var behind []*qm.Endpoint
 	var out []Order
-	engines, loading, emptying := 0, 0, 0
+	// loading counts the engines that take from the weight store, away all that take no work: those that are emptied, load, or were not
+	// asked yet whether they have loaded.
+	engines, loading, away := 0, 0, 0
 	for _, e := range endpoints {
 		has, ok := e.Models[model]
 		if !ok || e.State == qm.Leaving {
@@ -117,13 +124,16 @@
 			behind = append(behind, e)
 		case ph == nil:
 		case ph.loading:
-			loading++
+			away++
+			if now.Before(ph.loaded) {
+				loading++
+			}
 			if !ph.busy && !now.Before(ph.next) {
 				ph.busy = true
 				out = append(out, Order{Step: Look, Endpoint: e, Model: model, Number: ph.weights.Number})
 			}
 		default:
-			emptying++
+			away++
 		}
 	}
 	limit := max(leastLoading, engines/loadingShare)
@@ -135,16 +145,16 @@
 		if e.Load.Once > 0 && now.Before(ph.latest) {
 			continue
 		}
-		loading, emptying = loading+1, emptying-1
-		ph.loading, ph.busy, ph.weights = true, true, w
+		loading++
+		ph.loading, ph.busy, ph.weights, ph.loaded = true, true, w, now.Add(loadTime)
 		out = append(out, Order{Step: Load, Endpoint: e, Model: model, Number: w.Number, Cut: true})
 	}
 	slices.SortStableFunc(behind, func(a, b *qm.Endpoint) int { return compare(a, b, model) })
 	for _, e := range behind {
-		if loading+emptying >= limit+limit/2 {
+		if away >= awayFactor*limit {
 			break
 		}
-		emptying++
+		away++
 		p.phases[e.ID] = &phase{weights: w, inc: e.Incarnation, next: now.Add(emptyTime + time.Duration(engines)*emptyPerEngine), latest: now.Add(longestEmpty)}
 		out = append(out, Order{Step: Empty, Endpoint: e, Model: model, Number: w.Number})
 	}
