--- a/internal/client/pool/pool.go
+++ b/internal/client/pool/pool.go
@@ -9,6 +9,10 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/pkg/errors"
+
+	qm "quetzalmount.dev/quetzalmount"
 )
 
 const (
@@ -126,3 +130,13 @@
 	}
 	p.fresh.CloseIdleConnections()
 }
+
+// Probe opens a connection to an endpoint and closes it.
+func Probe(ctx context.Context, e *qm.Endpoint) error {
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "tcp", e.Address)
+	if err != nil {
+		return errors.WithMessagef(err, "probe %s", e.ID)
+	}
+	return errors.WithMessage(c.Close(), "close probe")
+}
--- a/internal/entry/server/adapt.go
+++ b/internal/entry/server/adapt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 
 	"github.com/pkg/errors"
 
@@ -41,16 +40,6 @@
 	return feed.Page{Incarnation: r.Incarnation, Next: r.Next, Gap: r.Gap, Events: r.Events}, err
 }
 
-// probe opens a connection to an endpoint and closes it.
-func probe(ctx context.Context, e *qm.Endpoint) error {
-	var d net.Dialer
-	c, err := d.DialContext(ctx, "tcp", e.Address)
-	if err != nil {
-		return errors.WithMessagef(err, "probe %s", e.ID)
-	}
-	return errors.WithMessage(c.Close(), "close probe")
-}
-
 // incarnationChanged drops what was known of an engine's cache.
 func (p *parts) incarnationChanged(id qm.EndpointID, inc qm.Incarnation) {
 	if p.observer != nil {
--- a/internal/entry/server/parts.go
+++ b/internal/entry/server/parts.go
@@ -165,7 +165,7 @@
 
 func (p *parts) addMembers(ctx context.Context) {
 	p.roster = roster.New(ctx, roster.Options{
-		Board: p.board, Self: p.self(), List: p.readList, Load: p.readLoad, Probe: probe, Changed: p.incarnationChanged,
+		Board: p.board, Self: p.self(), List: p.readList, Load: p.readLoad, Probe: pool.Probe, Changed: p.incarnationChanged,
 		ListEvery: p.settings.ListEvery, PollEvery: p.settings.LoadEvery, PollsPerRound: p.settings.PollsPerRound,
 		Log: p.log.WithName("roster"),
 	})
--- a/internal/state/table/problem.go
+++ b/internal/state/table/problem.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
+	"unicode/utf8"
 )
 
 // Problem is one reason why a sheet or a table is not valid.
@@ -22,10 +24,10 @@
 		fmt.Fprintf(&b, "line %d: ", p.Line)
 	}
 	if p.Row != (Key{}) {
-		fmt.Fprintf(&b, "%s: ", p.Row)
+		fmt.Fprintf(&b, "%s: ", printable(p.Row.String()))
 	}
 	if p.Column != "" {
-		fmt.Fprintf(&b, "%s: ", p.Column)
+		fmt.Fprintf(&b, "%s: ", printable(p.Column))
 	}
 	b.WriteString(p.Reason)
 	return b.String()
@@ -44,3 +46,13 @@
 	}
 	return fmt.Sprintf("%d problems\n%s", len(e.Problems), strings.Join(lines, "\n"))
 }
+
+// printable quotes a name from the input if it holds anything that a terminal would act on.
+func printable(name string) string {
+	for _, r := range name {
+		if !strconv.IsPrint(r) || r == utf8.RuneError {
+			return strconv.Quote(name)
+		}
+	}
+	return name
+}
