--- a/internal/state/roll/roll.go
+++ b/internal/state/roll/roll.go
@@ -21,9 +21,10 @@
 	loadingShare = 5
 	// leastLoading is the least number of engines that load at the same time.
 	leastLoading = 2
-	// awayFactor times that part is the most engines that take no work at the same time: a load takes about as long as emptying the engine
-	// before and asking it afterwards.
-	awayFactor = 2
+	// awayShare of that part, or leastAway if that is more, is the number of engines that take no work beside those that load, since they
+	// are emptied or were not asked yet whether they have loaded. More would end a roll-out sooner and leave too few for the load meanwhile.
+	awayShare = 0.5
+	leastAway = 2
 	// emptyTime is how long an engine gets no new requests before it loads, for each engine of the model that much longer: most runs
 	// end in that time, and in larger systems it takes longer until all routers have heard of it.
 	emptyTime      = 500 * time.Millisecond
@@ -151,7 +152,7 @@
 	}
 	slices.SortStableFunc(behind, func(a, b *qm.Endpoint) int { return compare(a, b, model) })
 	for _, e := range behind {
-		if away >= awayFactor*limit {
+		if away >= limit+max(leastAway, int(awayShare*float64(limit))) {
 			break
 		}
 		away++
