--- a/spec/check.sh
+++ b/spec/check.sh
@@ -66,6 +66,7 @@
 verify claim-retention claim -DATTEMPTS=2 -DCALLERS=1 -DRETENTION
 verify order order
 verify config config
+verify duty duty
 
 for m in NO_READ_BACK NO_WINNER_CHECK NO_VOID NO_VOID_SET TAKE_OVER RESEND; do
 	refute "claim $m" claim -DATTEMPTS=2 "-DMUTANT_$m"
@@ -81,5 +82,9 @@
 	refute "config $m" config "-DMUTANT_$m"
 done
 
+for m in LONG_VALIDITY NO_SETTLE STOPPED_CLOCK; do
+	refute "duty $m" duty "-DMUTANT_$m"
+done
+
 echo "models: $passed passed, mutants: $refuted refuted, $failed failed"
 [ "$failed" -eq 0 ]
