--- a/internal/infra/meter/meter.go
+++ b/internal/infra/meter/meter.go
@@ -71,16 +71,16 @@
 
 // series holds the series of things of one kind, made when they are first used and bounded in number.
 type series[K ~string, V any] struct {
-	most int
-	make func(label string) *V
+	most  int
+	build func(label string) *V
 
 	mu    sync.RWMutex
 	known map[K]*V
 	other *V
 }
 
-func newSeries[K ~string, V any](most int, make func(string) *V) *series[K, V] {
-	return &series[K, V]{most: most, make: make, known: map[K]*V{}, other: make(Other)}
+func newSeries[K ~string, V any](most int, build func(string) *V) *series[K, V] {
+	return &series[K, V]{most: most, build: build, known: map[K]*V{}, other: build(Other)}
 }
 
 func (s *series[K, V]) get(key K) *V {
@@ -98,7 +98,7 @@
 	if len(s.known) >= s.most {
 		return s.other
 	}
-	v = s.make(string(key))
+	v = s.build(string(key))
 	s.known[key] = v
 	return v
 }
--- a/internal/soak/fleet/fleet.go
+++ b/internal/soak/fleet/fleet.go
@@ -40,9 +40,9 @@
 	// Drain is when an engine that leaves gets nothing more. Engines serve longer, so that what comes later is seen.
 	Drain     = 2 * time.Second
 	serveLate = 3 * time.Second
-	// Apply is when a configuration is in force, VersionTime when new weights are.
+	// Apply is when a configuration is in force, versionTime when new weights are.
 	Apply       = 2 * time.Second
-	VersionTime = 15 * time.Second
+	versionTime = 15 * time.Second
 	// leaseTime is how long orders of two holders lie apart.
 	leaseTime = 500 * time.Millisecond
 	// callTime bounds one call of the operator, readyTime the start of a program.
@@ -418,7 +418,7 @@
 RepeatExtra = 50
 RepeatWindowS = 10
 `, r.Name, a[0], a[1], a[2], a[3], a[4], seed, r.StoreLink.Address(), Heartbeat.Milliseconds(), Grace.Seconds(), Drain.Milliseconds(),
-		Apply.Milliseconds(), leaseTime.Milliseconds(), VersionTime.Milliseconds())
+		Apply.Milliseconds(), leaseTime.Milliseconds(), versionTime.Milliseconds())
 }
 
 func (f *Fleet) launch(r *Router) error {
--- a/internal/soak/round/round.go
+++ b/internal/soak/round/round.go
@@ -83,7 +83,7 @@
 	callers := crowd.New(ctx, f, book, o.Callers, o.Seed)
 	err = play(f, steps, filepath.Join(res.Logs, "plan.log"))
 	if err == nil {
-		recover(f, callers, book)
+		settle(f, callers, book)
 	}
 	cancel()
 	callers.Wait()
@@ -127,8 +127,8 @@
 	return first
 }
 
-// recover waits until everything must be well again, and checks that it is.
-func recover(f *fleet.Fleet, callers *crowd.Crowd, book *audit.Book) {
+// settle waits until everything must be well again, and checks that it is.
+func settle(f *fleet.Fleet, callers *crowd.Crowd, book *audit.Book) {
 	time.Sleep(recovery)
 	callers.Reset()
 	time.Sleep(settled)
