Show all entries that were read at once, or none

Each entry was put into the census on its own, so that a list read in between had a part of them; a part is enough to be ready. Ruled out: an entry that lapsed (the stand-in's store keeps them). Census.Take takes what was read as one. TestWhole lists while 20,000 entries are taken; with one lock an entry it can only fail.

--- a/internal/member/census/census.go
+++ b/internal/member/census/census.go
@@ -37,19 +37,31 @@
 // New returns an empty census.
 func New() *Census { return &Census{entries: make(map[qm.EndpointID]entry)} }
 
-// Put takes a registration and returns the one before, nil if there was none.
-func (c *Census) Put(e *qm.Endpoint) *qm.Endpoint {
+// Change is a registration, or its end if Endpoint is nil.
+type Change struct {
+	ID       qm.EndpointID
+	Endpoint *qm.Endpoint
+}
+
+// Take takes changes in order, all at once, so that no list shows a part of them: a router that has just started would seem to know all
+// endpoints. It returns the registration before each change, nil if there was none.
+func (c *Census) Take(changes []Change, now time.Time) []*qm.Endpoint {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	old := c.entries[e.ID].endpoint
-	c.entries[e.ID] = entry{endpoint: e}
+	old := make([]*qm.Endpoint, len(changes))
+	for i, ch := range changes {
+		old[i] = c.entries[ch.ID].endpoint
+		if ch.Endpoint != nil {
+			c.entries[ch.ID] = entry{endpoint: ch.Endpoint}
+		} else {
+			c.drop(ch.ID, now)
+		}
+	}
 	return old
 }
 
-// Drop takes the end of a registration.
-func (c *Census) Drop(id qm.EndpointID, now time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+// drop takes the end of a registration. The caller holds mu.
+func (c *Census) drop(id qm.EndpointID, now time.Time) {
 	e, ok := c.entries[id]
 	if !ok || !e.dropped.IsZero() {
 		return
@@ -61,11 +73,10 @@
 // Keep takes a whole list of registrations: those that it does not name have ended.
 func (c *Census) Keep(named map[qm.EndpointID]bool, now time.Time) {
 	c.mu.Lock()
-	ids := slices.Collect(maps.Keys(c.entries))
-	c.mu.Unlock()
-	for _, id := range ids {
+	defer c.mu.Unlock()
+	for id := range c.entries {
 		if !named[id] {
-			c.Drop(id, now)
+			c.drop(id, now)
 		}
 	}
 }
--- a/internal/member/census/census_test.go
+++ b/internal/member/census/census_test.go
@@ -1,6 +1,8 @@
 package census_test
 
 import (
+	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -10,6 +12,40 @@
 	"quetzalmount.dev/quetzalmount/internal/member/census"
 )
 
+func put(c *census.Census, ids ...qm.EndpointID) {
+	var changes []census.Change
+	for _, id := range ids {
+		changes = append(changes, census.Change{ID: id, Endpoint: &qm.Endpoint{ID: id}})
+	}
+	c.Take(changes, time.Time{})
+}
+
+func drop(c *census.Census, now time.Time, ids ...qm.EndpointID) {
+	var changes []census.Change
+	for _, id := range ids {
+		changes = append(changes, census.Change{ID: id})
+	}
+	c.Take(changes, now)
+}
+
+// TestWhole guards against a list that shows a part of what was read at once: a router would be ready and refuse requests for want of the
+// other part.
+func TestWhole(t *testing.T) {
+	c := census.New()
+	var ids []qm.EndpointID
+	for i := range 20000 {
+		ids = append(ids, qm.EndpointID(strconv.Itoa(i)))
+	}
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { put(c, ids...) })
+	for n := 0; n < len(ids); {
+		if n = len(c.List(time.Now())); n != 0 && n != len(ids) {
+			t.Fatalf("the list has %d of %d endpoints", n, len(ids))
+		}
+	}
+}
+
 // TestLapse guards against endpoints that are dropped because the registry was away, and against endpoints that are kept although
 // they did not come back.
 func TestLapse(t *testing.T) {
@@ -26,21 +62,18 @@
 			t.Errorf("%s (-want +got):\n%s", when, diff)
 		}
 	}
-	for _, id := range []qm.EndpointID{"a", "b", "c"} {
-		c.Put(&qm.Endpoint{ID: id})
-	}
-	c.Drop("c", now)
+	put(c, "a", "b", "c")
+	drop(c, now, "c")
 	expect(now, "dropped while the registry is there", "a", "b")
 	if !c.Reached(false, now) || c.Reached(false, now) {
 		t.Error("the loss of the registry was not reported once")
 	}
-	c.Drop("a", now)
-	c.Drop("b", now)
+	drop(c, now, "a", "b")
 	expect(now.Add(time.Minute), "dropped while the registry is away", "a", "b")
 	back := now.Add(time.Minute)
 	c.Reached(true, back)
 	expect(back.Add(time.Second), "one second after its return", "a", "b")
-	c.Put(&qm.Endpoint{ID: "a"})
+	put(c, "a")
 	expect(back.Add(3*time.Second), "three seconds after its return", "a")
 	c.Keep(map[qm.EndpointID]bool{"b": true}, back.Add(4*time.Second))
 	expect(back.Add(4*time.Second), "a whole list without it")
@@ -49,8 +82,7 @@
 // TestOnly guards against a router without the registry that keeps what others know to be gone.
 func TestOnly(t *testing.T) {
 	c := census.New()
-	c.Put(&qm.Endpoint{ID: "a"})
-	c.Put(&qm.Endpoint{ID: "b"})
+	put(c, "a", "b")
 	c.Reached(false, time.Unix(0, 0))
 	c.Only(map[qm.EndpointID]bool{"a": true})
 	if got := c.List(time.Unix(1, 0)); len(got) != 1 || got[0].ID != "a" {
--- a/internal/member/loads/cells.go
+++ b/internal/member/loads/cells.go
@@ -13,11 +13,6 @@
 	"quetzalmount.dev/quetzalmount/internal/wire/peerpb"
 )
 
-// In a large system the routers form cells. Each reports its work to the collector of its cell and gets that of all other routers in
-// return, and the collectors trade the sums of their cells. So every router knows the work of all others within a few rounds, at the cost
-// of one trade a round; a collector has as many as it has members and fellow collectors, both about the square root of the number of
-// routers. A sample of a few routers in place of this, scaled up, tells next to nothing: an engine has few requests, each at another router.
-
 // collectors returns the routers that collect: as many as the square root of the number of routers, chosen by hash so that all routers with
 // the same list choose the same ones.
 func collectors(live []qm.Member) []qm.Member {
@@ -44,7 +39,12 @@
 // collectorTries is the number of collectors that a router tries in a round.
 const collectorTries = 2
 
-// cellRound trades as a member or as a collector. live are all routers that are live, this one among them.
+// cellRound trades as a member or as a collector of a cell. live are all routers that are live, this one among them.
+//
+// Each router reports its work to the collector of its cell and gets that of all other routers in return, and the collectors trade the sums
+// of their cells. So every router knows the work of all others within a few rounds, at the cost of one trade a round; a collector has as
+// many as it has members and fellow collectors, both about the square root of the number of routers. A sample of a few routers in place of
+// this, scaled up, tells next to nothing: an engine has few requests, each at another router.
 func (b *Book) cellRound(ctx context.Context, live []qm.Member) {
 	all := collectors(live)
 	collects := slices.ContainsFunc(all, func(m qm.Member) bool { return m.Self })
--- a/internal/route/exchg/exchg.go
+++ b/internal/route/exchg/exchg.go
@@ -266,7 +266,7 @@
 		return qm.Fail(qm.CodeEndpoint, "resume", p.decision.Endpoint.Address, errors.Errorf("status %d", a.Status))
 	}
 	t.first = time.Since(t.x.Received)
-	t.began(p, time.Now())
+	t.noteFirst(p, time.Now())
 	if err := t.w.Whole(a, body); err != nil {
 		return errors.WithMessage(errCaller, err.Error())
 	}
@@ -304,7 +304,7 @@
 				t.first = time.Since(t.x.Received)
 			}
 			began = time.Now()
-			t.began(p, began)
+			t.noteFirst(p, began)
 		}
 		stall.set(patience(t.x, t.tally, true, 0, time.Until(t.x.GiveUp)))
 		if seen(id, t.last) {
@@ -375,8 +375,8 @@
 	sent, head time.Time
 }
 
-// began tells that the answer has begun, or is there whole.
-func (t *run) began(p *placed, now time.Time) {
+// noteFirst tells placement and the meter that the answer has begun, or is there whole.
+func (t *run) noteFirst(p *placed, now time.Time) {
 	p.placer.FirstToken(p.request, p.decision, p.decision.Hit, now)
 	t.r.deps.Meter.Step(meter.StepFirst, now.Sub(p.head))
 	t.r.deps.Meter.Endpoint(p.decision.Endpoint.ID).First(now.Sub(p.sent))
