Keep the platform's wire names of the soak in platform/fake

The soak's callers and fleet, and the engine's registration, used the names of the wire outside platform/. platform/fake now has an operator, a registrar and requests as callers send them.

--- a/cmd/standin/platform.go
+++ b/cmd/standin/platform.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -9,7 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 
 	"quetzalmount.dev/quetzalmount/internal/standin/serve"
@@ -35,7 +33,6 @@
 			address(),
 			&cli.StringFlag{Name: "advertise", Usage: "`HOST:PORT` that its entry in the store names", Required: true},
 			&cli.StringFlag{Name: "store", Usage: "`HOST:PORT` of the store", Required: true},
-			&cli.StringFlag{Name: "topic", Usage: "topic of the entries", Value: "keyed.servers"},
 			&cli.StringFlag{Name: "id", Usage: "`ID` of the engine", Required: true},
 			&cli.StringFlag{Name: "service", Usage: "service that it belongs to", Required: true},
 			&cli.StringFlag{Name: "model", Usage: "model that it has"},
@@ -49,16 +46,6 @@
 	}
 }
 
-// registrar writes the entry of an engine to the store.
-type registrar struct {
-	engine           *fake.Engine
-	url, advertise   string
-	heartbeat, drain time.Duration
-	client           http.Client
-	// writing keeps an entry that is being written from replacing the one that says that the engine leaves.
-	writing sync.Mutex
-}
-
 func runPlatformEngine(ctx context.Context, c *cli.Command) error {
 	e := fake.NewEngine(c.String("id"), c.String("service"), "z", c.String("model"))
 	e.Work, e.LoadTime, e.Born = c.Duration("work"), c.Duration("load"), time.Now().UnixMilli()
@@ -70,56 +57,10 @@
 		defer mu.Unlock()
 		_ = out.Encode(ev) // whoever started the engine reads its output, or nobody does
 	}
-	r := &registrar{
-		engine: e, url: "http://" + c.String("store") + "/admin/put/" + c.String("topic") + "/" + c.String("id"), advertise: c.String("advertise"),
-		heartbeat: c.Duration("heartbeat"), drain: c.Duration("drain"), client: http.Client{Timeout: storeTimeout},
-	}
-	go r.beat(ctx)
-	return serve.Run(ctx, c.String("addr"), e, r.leave)
-}
-
-// beat writes the entry until the engine leaves.
-func (r *registrar) beat(ctx context.Context) {
-	for serve.Sleep(ctx, r.heartbeat) {
-		r.write(ctx)
-	}
-}
-
-func (r *registrar) write(ctx context.Context) {
-	r.writing.Lock()
-	defer r.writing.Unlock()
-	if ctx.Err() == nil {
-		if err := r.call(http.MethodPut, r.engine.Entry(r.advertise, "ready")); err != nil {
-			r.engine.Notify(fake.Event{Time: time.Now(), Engine: r.engine.ID, Kind: "NotListed", Detail: err.Error()})
-		}
-	}
-}
-
-// leave says that the engine leaves, serves a little longer, and takes its entry away.
-func (r *registrar) leave() {
-	r.writing.Lock()
-	defer r.writing.Unlock()
-	if err := r.call(http.MethodPut, r.engine.Entry(r.advertise, "draining")); err == nil {
-		r.engine.Leaving()
-	}
-	time.Sleep(r.drain)
-	if err := r.call(http.MethodDelete, nil); err != nil {
-		r.engine.Notify(fake.Event{Time: time.Now(), Engine: r.engine.ID, Kind: "NotRemoved", Detail: err.Error()})
-	}
-}
-
-func (r *registrar) call(method string, body []byte) error {
-	req, err := http.NewRequest(method, r.url, bytes.NewReader(body))
-	if err != nil {
-		return errors.Wrap(err, "write entry")
-	}
-	resp, err := r.client.Do(req)
-	if err != nil {
-		return errors.Wrap(err, "write entry")
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		return errors.Errorf("write entry: status %d", resp.StatusCode)
+	r := &fake.Registrar{
+		Engine: e, Advertise: c.String("advertise"), Heartbeat: c.Duration("heartbeat"), Drain: c.Duration("drain"),
+		Store: &fake.Operator{Address: c.String("store"), Client: &http.Client{Timeout: storeTimeout}},
 	}
-	return nil
+	go r.Beat(ctx)
+	return serve.Run(ctx, c.String("addr"), e, r.Leave)
 }
--- a/internal/soak/crowd/crowd.go
+++ b/internal/soak/crowd/crowd.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -19,6 +18,7 @@
 
 	"quetzalmount.dev/quetzalmount/internal/soak/audit"
 	"quetzalmount.dev/quetzalmount/internal/soak/fleet"
+	"quetzalmount.dev/quetzalmount/platform/fake"
 )
 
 const (
@@ -199,36 +199,19 @@
 func (c *caller) directory(r *fleet.Router) ([]string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), directoryTime)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.Directory+"/lookup?name="+fleet.Host+"&region=r&zone=z", nil)
-	if err != nil {
-		return nil, errors.Wrap(err, "ask for addresses")
-	}
-	resp, err := c.http.Do(req)
-	if err != nil {
-		return nil, errors.Wrap(err, "ask for addresses")
-	}
-	defer func() { _ = resp.Body.Close() }()
-	var answer struct{ Addrs []string }
-	return answer.Addrs, errors.Wrap(json.NewDecoder(resp.Body).Decode(&answer), "ask for addresses")
+	return fake.Directory(ctx, c.http, r.Directory, fleet.Host)
 }
 
 // send sends a request through the link of its router.
 func (c *caller) send(ctx context.Context, r *fleet.Router, a *audit.Attempt, key string, end time.Time) (*http.Response, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.CallerLink.Address()+path(a), strings.NewReader(a.ID))
-	if err != nil {
-		return nil, errors.Wrap(err, "send")
-	}
-	req.GetBody = nil // keeps net/http from sending the request again by itself
-	req.Host = fleet.Host
-	h := req.Header
-	h["Quetzalmount-Attempt-Id"] = []string{a.ID}
-	h.Set("Quetzalmount-Deadline-Ms", strconv.FormatInt(time.Until(end).Milliseconds(), 10))
-	h.Set("Quetzalmount-Tenant", "forged")
-	h.Set("Authorization", "Bearer "+key)
+	q := fake.Request{ID: a.ID, Host: fleet.Host, Path: path(a), Key: key, Body: a.ID, Left: time.Until(end)}
 	if a.Kind == audit.Chat {
-		h.Set("Quetzalmount-Model", fleet.Model)
-		h.Set("Quetzalmount-Token-Counts", fmt.Sprintf("1000,%d", events(a)))
-		h.Set("Quetzalmount-Prompt-Prefix", fmt.Sprintf("%x:800,%x:200", c.rnd.IntN(prompts), c.rnd.Uint64()))
+		q.Model, q.Output = fleet.Model, events(a)
+		q.Shared, q.Own = fmt.Sprintf("%x", c.rnd.IntN(prompts)), fmt.Sprintf("%x", c.rnd.Uint64())
+	}
+	req, err := q.New(ctx, r.CallerLink.Address())
+	if err != nil {
+		return nil, err
 	}
 	resp, err := c.http.Do(req)
 	return resp, errors.Wrap(err, "send")
@@ -268,11 +251,11 @@
 
 // judge finds what is wrong with an answer.
 func judge(a *audit.Attempt, h http.Header, body string) {
-	if id := h.Get("Quetzalmount-Attempt-Id"); id != a.ID {
+	id, sealed := fake.Named(h)
+	if id != a.ID {
 		a.Fault = fmt.Sprintf("it names request %q", id)
 		return
 	}
-	sealed := h.Get("Quetzalmount-Response-Seal") != ""
 	switch expected := want(a); {
 	case a.Status != http.StatusOK:
 		if sealed {
--- a/internal/soak/fleet/fleet.go
+++ b/internal/soak/fleet/fleet.go
@@ -25,10 +25,8 @@
 
 // Names in the deployment of a round.
 const (
-	Host    = "api.example"
-	Model   = "m"
-	engines = "llm"
-	desk    = "desk"
+	Host  = "api.example"
+	Model = "m"
 )
 
 const (
@@ -93,11 +91,11 @@
 
 // Fleet is what runs in one round.
 type Fleet struct {
-	opts    Options
-	client  http.Client
-	store   *proc
-	address string
-	Routers []*Router
+	opts     Options
+	client   http.Client
+	store    *proc
+	operator *fake.Operator
+	Routers  []*Router
 
 	mu      sync.Mutex
 	engines []*Engine
@@ -120,25 +118,26 @@
 }
 
 func (f *Fleet) begin() (err error) {
-	if f.address, err = ports.Free(); err != nil {
+	f.operator = &fake.Operator{Client: &f.client}
+	if f.operator.Address, err = ports.Free(); err != nil {
 		return err
 	}
-	if f.store, err = start(f.log("store"), f.program("standin"), []string{"platform-store", "--addr", f.address}, nil); err != nil {
+	if f.store, err = start(f.log("store"), f.program("standin"), []string{"platform-store", "--addr", f.operator.Address}, nil); err != nil {
 		return err
 	}
-	if err := f.wait("store", func() bool { return f.call(http.MethodGet, f.address, "/log-newest?topic=keyed.op", "") == nil }); err != nil {
+	if err := f.wait("store", func() bool { return f.operator.Reached() == nil }); err != nil {
 		return err
 	}
 	if err := f.Configure(); err != nil {
 		return err
 	}
 	for range f.opts.Engines {
-		if err := f.AddEngine(engines); err != nil {
+		if err := f.AddEngine(fake.ModelService); err != nil {
 			return err
 		}
 	}
 	for range f.opts.Desks {
-		if err := f.AddEngine(desk); err != nil {
+		if err := f.AddEngine(fake.PlainService); err != nil {
 			return err
 		}
 	}
@@ -168,23 +167,6 @@
 	return errors.Errorf("%s is not ready after %v", what, readyTime)
 }
 
-// call makes a call that must succeed with 200.
-func (f *Fleet) call(method, address, path, body string) error {
-	req, err := http.NewRequest(method, "http://"+address+path, strings.NewReader(body))
-	if err != nil {
-		return errors.Wrap(err, "call")
-	}
-	resp, err := f.client.Do(req)
-	if err != nil {
-		return errors.Wrap(err, "call")
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		return errors.Errorf("%s %s: status %d", method, path, resp.StatusCode)
-	}
-	return nil
-}
-
 // Close ends everything that the fleet has started.
 func (f *Fleet) Close() {
 	f.mu.Lock()
@@ -213,7 +195,7 @@
 	f.configuration++
 	n := f.configuration
 	f.opts.Book.Configuring(n)
-	err := f.call(http.MethodPut, f.address, "/admin/put/keyed.op/config", configuration(n))
+	err := f.operator.Configure(7*n, Host, Model, keyOf(n), keyOf(n-1))
 	if err == nil {
 		f.opts.Book.Configured(n)
 	}
@@ -231,23 +213,12 @@
 
 func keyOf(n int) string { return fmt.Sprint("key-", n) }
 
-// configuration returns a configuration as the operator writes it.
-func configuration(n int) string {
-	return fmt.Sprintf(`{"version":%d,"routes":[
-		{"name":"chat","host":%[2]q,"pathPrefix":"/chat/","kind":"streaming","timeoutMs":4000,"sloMs":500,"service":"llm","maxAttempts":2,"canResume":true,"gapAimMs":400},
-		{"name":"order","host":%[2]q,"pathPrefix":"/order/","kind":"non_idempotent","timeoutMs":3000,"sloMs":300,"service":"desk","maxAttempts":1},
-		{"name":"look","host":%[2]q,"pathPrefix":"/look/","kind":"idempotent","timeoutMs":3000,"sloMs":300,"service":"desk","maxAttempts":2}],
-		"services":[{"name":"llm","maxConns":100,"engine":{"slots":16,"kvCapacity":100000,"models":[{"name":"m"}]}},{"name":"desk"}],
-		"limits":{"maxHeaderBytes":16384,"maxBodyBytes":100000},
-		"tenants":[{"name":"team-1","keys":[%[3]q,%[4]q]}]}`, 7*n, Host, keyOf(n), keyOf(n-1))
-}
-
 // Name names the next version of the weights.
 func (f *Fleet) Name() error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.version++
-	return f.call(http.MethodPut, f.address, "/admin/put/keyed.op/version/"+Model, fmt.Sprintf(`{"model":%q,"version":%d}`, Model, f.version))
+	return f.operator.Name(Model, f.version)
 }
 
 // Behind returns the engines that do not have the newest weights.
@@ -257,29 +228,16 @@
 	f.mu.Unlock()
 	var out []string
 	for _, e := range all {
-		if e.service != engines {
+		if e.service != fake.ModelService {
 			continue
 		}
-		if got, err := f.weights(e); err != nil || got != version {
+		if got, err := fake.Weights(&f.client, e.address); err != nil || got != version {
 			out = append(out, fmt.Sprintf("%s has %d of %d (%v)", e.ID, got, version, err))
 		}
 	}
 	return out
 }
 
-func (f *Fleet) weights(e *Engine) (int64, error) {
-	resp, err := f.client.Get("http://" + e.address + "/report")
-	if err != nil {
-		return 0, errors.Wrap(err, "ask for weights")
-	}
-	defer func() { _ = resp.Body.Close() }()
-	var r struct{ Models []struct{ Version int64 } }
-	if err := json.NewDecoder(resp.Body).Decode(&r); err != nil || len(r.Models) != 1 {
-		return 0, errors.Errorf("ask for weights: %v", err)
-	}
-	return r.Models[0].Version, nil
-}
-
 // AddEngine starts another engine of a service.
 func (f *Fleet) AddEngine(service string) error {
 	f.mu.Lock()
@@ -311,10 +269,10 @@
 	version := f.version
 	f.mu.Unlock()
 	args := []string{
-		"platform-engine", "--addr", e.address, "--advertise", e.Link.Address(), "--store", f.address, "--id", e.ID, "--service", e.service,
+		"platform-engine", "--addr", e.address, "--advertise", e.Link.Address(), "--store", f.operator.Address, "--id", e.ID, "--service", e.service,
 		"--heartbeat", Heartbeat.String(), "--drain", serveLate.String(),
 	}
-	if e.service == engines {
+	if e.service == fake.ModelService {
 		args = append(args, "--model", Model, "--version", fmt.Sprint(version))
 	}
 	p, err := start(f.log(e.ID), f.program("standin"), args, f.events)
@@ -322,7 +280,7 @@
 		return err
 	}
 	e.proc = p
-	return f.wait(e.ID, func() bool { _, err := f.weights(e); return err == nil })
+	return f.wait(e.ID, func() bool { _, err := fake.Weights(&f.client, e.address); return err == nil })
 }
 
 // events hands the events of an engine to the audit.
@@ -354,7 +312,7 @@
 	if r.CallerLink, err = link.New(r.Callers); err != nil {
 		return err
 	}
-	if r.StoreLink, err = link.New(f.address); err != nil {
+	if r.StoreLink, err = link.New(f.operator.Address); err != nil {
 		return err
 	}
 	seed := addresses[2]
@@ -435,7 +393,7 @@
 
 // WaitReady waits until a router is ready.
 func (f *Fleet) WaitReady(r *Router) error {
-	return f.wait(r.Name, func() bool { return f.call(http.MethodGet, r.ready, "/readyz", "") == nil })
+	return f.wait(r.Name, func() bool { return fake.Ready(&f.client, r.ready) == nil })
 }
 
 // Ended returns the routers whose process has ended by itself.
--- a/internal/soak/fleet/trouble.go
+++ b/internal/soak/fleet/trouble.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"net/http"
 	"slices"
 	"sync"
 	"syscall"
@@ -44,16 +43,13 @@
 		r.proc.signal(syscall.SIGHUP)
 	case plan.StoreOutage:
 		defer f.opts.Book.Harm(audit.Store)()
-		if err := f.call(http.MethodPut, f.address, "/admin/outage", s.How); err != nil {
+		if err := f.operator.Break(fake.Outage(s.How)); err != nil {
 			return err
 		}
 		time.Sleep(s.For)
-		return f.call(http.MethodPut, f.address, "/admin/outage", string(fake.Serving))
+		return f.operator.Break(fake.Serving)
 	case plan.StoreTrim:
-		if err := f.call(http.MethodPost, f.address, "/admin/trim/keyed.op", ""); err != nil {
-			return err
-		}
-		return f.call(http.MethodPost, f.address, "/admin/trim/keyed.servers", "")
+		return f.operator.Trim()
 	case plan.StoreLink:
 		defer f.opts.Book.Harm(r.Name)()
 		harm(r.StoreLink, s)
@@ -84,7 +80,7 @@
 		f.remove(e)
 		e.proc.kill()
 		time.Sleep(lapse)
-		if err := f.unlist(e); err != nil {
+		if err := f.operator.Unlist(e.ID); err != nil {
 			return err
 		}
 		time.Sleep(s.For)
@@ -95,7 +91,7 @@
 		f.opts.Book.Restarted(e.ID)
 		time.Sleep(s.For)
 		if s.For > lapse {
-			if err := f.unlist(e); err != nil {
+			if err := f.operator.Unlist(e.ID); err != nil {
 				return err
 			}
 		}
@@ -113,11 +109,11 @@
 		freeze(e.proc, s.For)
 	case plan.EngineFault:
 		defer f.opts.Book.Harm(e.ID)()
-		if err := f.call(http.MethodPut, e.address, "/fault", s.How); err != nil {
+		if err := fake.FailEngine(&f.client, e.address, fake.Fault(s.How)); err != nil {
 			return err
 		}
 		time.Sleep(s.For)
-		return f.call(http.MethodPut, e.address, "/fault", string(fake.Sound))
+		return fake.FailEngine(&f.client, e.address, fake.Sound)
 	case plan.EngineLink:
 		defer f.opts.Book.Harm(e.ID)()
 		harm(e.Link, s)
@@ -146,11 +142,6 @@
 	f.gone = append(f.gone, e)
 }
 
-// unlist takes the entry of an engine off the store, as the store does once an engine was silent for long enough.
-func (f *Fleet) unlist(e *Engine) error {
-	return f.call(http.MethodDelete, f.address, "/admin/put/keyed.servers/"+e.ID, "")
-}
-
 // kill kills routers at the same moment and starts them again after a pause.
 func (f *Fleet) kill(routers []*Router, pause time.Duration) error {
 	for _, r := range routers {
