--- a/internal/member/loads/loads.go
+++ b/internal/member/loads/loads.go
@@ -11,6 +11,9 @@
 	"sync"
 	"time"
 
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+
 	qm "quetzalmount.dev/quetzalmount"
 	"quetzalmount.dev/quetzalmount/internal/infra/period"
 	"quetzalmount.dev/quetzalmount/internal/state/board"
@@ -44,6 +47,8 @@
 	Every   time.Duration
 	// Few is the number of routers up to which each trades with others directly; 0 means always.
 	Few int
+	// Log takes a line when the work of other routers becomes known or unknown; the zero value drops it.
+	Log logr.Logger
 }
 
 // count is the work at one endpoint.
@@ -78,6 +83,9 @@
 	// said of all other routers. collects tells that this router is a collector.
 	others, cells, rest map[qm.InstanceID]heard
 	collects            bool
+	// hears tells that the work of at least one other router is known, failed why the last trade that failed did.
+	hears  bool
+	failed error
 }
 
 // New starts to trade. It ends with the context or with Close.
@@ -164,6 +172,26 @@
 	}
 	if ctx.Err() == nil {
 		b.opts.Publish(b.Estimate(len(peers), time.Now()))
+		b.tell(len(peers), time.Now())
+	}
+}
+
+// tell logs when the work of other routers becomes known or unknown.
+func (b *Book) tell(others int, now time.Time) {
+	b.mu.Lock()
+	_, n := b.heardOf(others, now)
+	hears, failed := n > 0, b.failed
+	changed := others > 0 && hears != b.hears
+	if changed {
+		b.hears = hears
+	}
+	b.mu.Unlock()
+	switch {
+	case !changed:
+	case hears:
+		b.opts.Log.Info("loads of other routers known", "Heard", n, "Others", others)
+	default:
+		b.opts.Log.Error(failed, "loads of other routers unknown", "Others", others)
 	}
 }
 
@@ -181,11 +209,17 @@
 	wg.Wait()
 }
 
-// trade trades with one router. An error is not logged: the exchange between the routers finds out what is wrong and logs it.
+// trade trades with one router. An error is kept for the line that is logged once no router is heard any more.
 func (b *Book) trade(ctx context.Context, m qm.Member, own *peerpb.LoadShare) (*peerpb.LoadShare, error) {
 	ctx, cancel := context.WithTimeout(ctx, tradeTime)
 	defer cancel()
-	return b.opts.Trade(ctx, m, own)
+	theirs, err := b.opts.Trade(ctx, m, own)
+	if err != nil {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.failed = errors.WithMessagef(err, "trade loads with %s", m.Instance)
+	}
+	return theirs, err
 }
 
 // Traded takes what a router that trades with this one said and returns the answer.
--- a/internal/member/loads/loads_test.go
+++ b/internal/member/loads/loads_test.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/go-logr/logr/funcr"
 	"github.com/google/go-cmp/cmp"
+	"github.com/pkg/errors"
 
 	qm "quetzalmount.dev/quetzalmount"
 	"quetzalmount.dev/quetzalmount/internal/state/board"
@@ -80,3 +84,41 @@
 		}
 	})
 }
+
+// TestTell guards against a router that knows nothing of the others' work without anybody seeing it.
+func TestTell(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var lines []string
+		var broken atomic.Bool
+		b := board.New()
+		b.Members.Store(qm.Members{{Instance: "a", Self: true}, {Instance: "b", PeerAddress: "b", State: qm.Live}})
+		book := New(t.Context(), Options{
+			Board: b, Self: "a", Publish: func(map[qm.EndpointID]qm.Load) {},
+			Log: funcr.New(func(_, line string) { lines = append(lines, line) }, funcr.Options{}),
+			Trade: func(context.Context, qm.Member, *peerpb.LoadShare) (*peerpb.LoadShare, error) {
+				if broken.Load() {
+					return nil, errors.New("refused")
+				}
+				return &peerpb.LoadShare{Instance: "b"}, nil
+			},
+		})
+		time.Sleep(time.Second)
+		broken.Store(true)
+		time.Sleep(time.Second)
+		broken.Store(false)
+		time.Sleep(time.Second)
+		book.Close()
+		want := []string{"loads of other routers known", "loads of other routers unknown", "loads of other routers known"}
+		if len(lines) != len(want) {
+			t.Fatalf("lines %q", lines)
+		}
+		for i, w := range want {
+			if !strings.Contains(lines[i], w) {
+				t.Errorf("line %d is %s, want %s", i, lines[i], w)
+			}
+		}
+		if !strings.Contains(lines[1], "refused") {
+			t.Errorf("the line does not say why: %s", lines[1])
+		}
+	})
+}
