--- a/internal/soak/fleet/fleet.go
+++ b/internal/soak/fleet/fleet.go
@@ -41,6 +41,8 @@
 	// Apply is when a configuration is in force, versionTime when new weights are.
 	Apply       = 2 * time.Second
 	versionTime = 15 * time.Second
+	// versionStep is the difference between the versions of two configurations. The operator's versions have gaps.
+	versionStep = 7
 	// leaseTime is how long orders of two holders lie apart.
 	leaseTime = 500 * time.Millisecond
 	// callTime bounds one call of the operator, readyTime the start of a program.
@@ -195,7 +197,7 @@
 	f.configuration++
 	n := f.configuration
 	f.opts.Book.Configuring(n)
-	err := f.operator.Configure(7*n, Host, Model, keyOf(n), keyOf(n-1))
+	err := f.operator.Configure(versionStep*n, Host, Model, keyOf(n), keyOf(n-1))
 	if err == nil {
 		f.opts.Book.Configured(n)
 	}
