--- a/internal/soak/round/round_test.go
+++ b/internal/soak/round/round_test.go
@@ -46,8 +46,13 @@
 	play := func(seed uint64, length time.Duration, troubles int) {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			t.Parallel()
+			// The logs of a round that fails stay, apart from those of other runs on this machine.
+			logs, err := os.MkdirTemp("", "quetzalmount-soak")
+			if err != nil {
+				t.Fatal(err)
+			}
 			r, err := round.Play(round.Options{
-				Seed: seed, Bin: bin, Dir: os.TempDir(), Length: length, Troubles: troubles, Routers: 3, Engines: 3, Desks: 2, Callers: 12,
+				Seed: seed, Bin: bin, Dir: logs, Length: length, Troubles: troubles, Routers: 3, Engines: 3, Desks: 2, Callers: 12,
 			})
 			if err != nil || len(r.Broken) > 0 {
 				t.Errorf("%v %v\n%s", r, err, strings.Join(r.Broken, "\n"))
--- a/internal/standin/ports/ports_test.go
+++ b/internal/standin/ports/ports_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"net"
+	"os"
+	"os/exec"
+	"strings"
 	"testing"
 
 	"quetzalmount.dev/quetzalmount/internal/standin/ports"
@@ -26,3 +29,38 @@
 		seen[a] = true
 	}
 }
+
+// TestReserved guards against an address that another process gets while the program that uses it restarts: two rounds of the soak at the
+// same time took each other's ports.
+func TestReserved(t *testing.T) {
+	const child = "QUETZALMOUNT_PORTS_CHILD"
+	if os.Getenv(child) != "" {
+		for range 2000 {
+			a, err := ports.Free()
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Log("free:" + a)
+		}
+		return
+	}
+	mine := map[string]bool{}
+	for range 50 {
+		a, err := ports.Free()
+		if err != nil {
+			t.Fatal(err)
+		}
+		mine[a] = true
+	}
+	cmd := exec.Command(os.Args[0], "-test.run=TestReserved", "-test.v")
+	cmd.Env = append(os.Environ(), child+"=1")
+	out, err := cmd.CombinedOutput()
+	if err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	for _, line := range strings.Split(string(out), "\n") {
+		if _, a, ok := strings.Cut(line, "free:"); ok && mine[strings.TrimSpace(a)] {
+			t.Errorf("another process got %s as well", a)
+		}
+	}
+}
