Sum the loads that were heard in one way

Found on reading: collectors were ranked by two functions beside advice.Rank, which scores each router once instead of at each comparison; the sums of cells stood twice (answer to a member, own estimate), the routers that are live and those to trade with were filtered twice, and each round summed everything a second time for a log line. work.add and work.fresh now serve all.

--- a/internal/member/loads/cells.go
+++ b/internal/member/loads/cells.go
@@ -1,7 +1,6 @@
 package loads
 
 import (
-	"cmp"
 	"context"
 	"math"
 	"slices"
@@ -15,27 +14,13 @@
 
 // collectors returns the routers that collect: as many as the square root of the number of routers, chosen by hash so that all routers with
 // the same list choose the same ones.
-func collectors(live []qm.Member) []qm.Member {
-	n := int(math.Round(math.Sqrt(float64(len(live)))))
-	out := slices.Clone(live)
-	slices.SortFunc(out, func(a, b qm.Member) int {
-		return cmp.Compare(advice.Score(collectorKey, string(b.Instance)), advice.Score(collectorKey, string(a.Instance)))
-	})
-	return out[:n]
+func collectors(live qm.Members) qm.Members {
+	return advice.Rank(collectorKey, live)[:int(math.Round(math.Sqrt(float64(len(live)))))]
 }
 
 // collectorKey is the key under which routers are ranked as collectors.
 const collectorKey = "loads"
 
-// collectorsOf ranks the collectors for a router, its own first.
-func collectorsOf(id qm.InstanceID, all []qm.Member) []qm.Member {
-	out := slices.Clone(all)
-	slices.SortFunc(out, func(a, b qm.Member) int {
-		return cmp.Compare(advice.Score(string(id), string(b.Instance)), advice.Score(string(id), string(a.Instance)))
-	})
-	return out
-}
-
 // collectorTries is the number of collectors that a router tries in a round.
 const collectorTries = 2
 
@@ -45,14 +30,14 @@
 // of their cells. So every router knows the work of all others within a few rounds, at the cost of one trade a round; a collector has as
 // many as it has members and fellow collectors, both about the square root of the number of routers. A sample of a few routers in place of
 // this, scaled up, tells next to nothing: an engine has few requests, each at another router.
-func (b *Book) cellRound(ctx context.Context, live []qm.Member) {
+func (b *Book) cellRound(ctx context.Context, live qm.Members) {
 	all := collectors(live)
 	collects := slices.ContainsFunc(all, func(m qm.Member) bool { return m.Self })
 	b.mu.Lock()
 	b.collects = collects
 	b.mu.Unlock()
 	if !collects {
-		for _, m := range collectorsOf(b.opts.Self, all)[:min(collectorTries, len(all))] {
+		for _, m := range advice.Rank(qm.TeamID(b.opts.Self), all)[:min(collectorTries, len(all))] {
 			if theirs, err := b.trade(ctx, m, b.share(peerpb.LoadScope_LOAD_SCOPE_MEMBER)); err == nil {
 				b.take(theirs)
 				return
@@ -75,40 +60,36 @@
 	wg.Wait()
 }
 
-// sumOf returns the fresh work of a number of routers, and their number. The caller holds mu.
-func sumOf(from map[qm.InstanceID]heard, now time.Time, except qm.InstanceID) (map[qm.EndpointID]count, int) {
-	sums, n := map[qm.EndpointID]count{}, 0
+// work is the work at each endpoint.
+type work map[qm.EndpointID]count
+
+// add adds more work.
+func (w work) add(more work) {
+	for e, c := range more {
+		w[e] = w[e].plus(c)
+	}
+}
+
+// fresh adds to w what was heard lately, but for one router, and returns the number of routers whose work that is.
+func (w work) fresh(from map[qm.InstanceID]heard, now time.Time, except qm.InstanceID) int {
+	n := 0
 	for id, h := range from {
-		if now.Sub(h.at) > fresh {
+		if now.Sub(h.at) > freshTime {
 			delete(from, id)
 			continue
 		}
-		if id == except {
-			continue
-		}
-		n += h.routers
-		for e, c := range h.counts {
-			sums[e] = sums[e].plus(c)
+		if id != except {
+			n += h.routers
+			w.add(h.work)
 		}
 	}
-	return sums, n
-}
-
-// cellSum returns the work of the cell of this router, its own included, but for one member.
-func (b *Book) cellSum(now time.Time, except qm.InstanceID) (map[qm.EndpointID]count, int) {
-	sums, n := sumOf(b.others, now, except)
-	for e, c := range b.own {
-		sums[e] = sums[e].plus(c)
-	}
-	return sums, n + 1
+	return n
 }
 
-// allBut returns the work of all routers but one member of the cell.
-func (b *Book) allBut(now time.Time, member qm.InstanceID) (map[qm.EndpointID]count, int) {
-	sums, n := b.cellSum(now, member)
-	cells, m := sumOf(b.cells, now, "")
-	for e, c := range cells {
-		sums[e] = sums[e].plus(c)
-	}
-	return sums, n + m
+// elsewhere returns what a collector heard of other routers, but for one member of its cell, and the number of those routers. The caller
+// holds mu.
+func (b *Book) elsewhere(now time.Time, except qm.InstanceID) (work, int) {
+	w := work{}
+	n := w.fresh(b.others, now, except) + w.fresh(b.cells, now, "")
+	return w, n
 }
--- a/internal/member/loads/loads.go
+++ b/internal/member/loads/loads.go
@@ -26,8 +26,8 @@
 	// Fanout is the number of routers that a router trades with in a round. With both directions of a trade a router hears twice as
 	// many, which is all of them in a system of six.
 	Fanout = 3
-	// fresh is the age up to which the counts of another router are used.
-	fresh = 400 * time.Millisecond
+	// freshTime is the age up to which the counts of another router are used.
+	freshTime = 400 * time.Millisecond
 	// tradeTime bounds one trade; later its answer would be too old.
 	tradeTime = 200 * time.Millisecond
 )
@@ -67,7 +67,7 @@
 type heard struct {
 	at      time.Time
 	routers int
-	counts  map[qm.EndpointID]count
+	work    work
 }
 
 // Book counts the own work and estimates that of all routers. It is safe for concurrent use.
@@ -76,7 +76,7 @@
 	loop *period.Loop
 
 	mu  sync.Mutex
-	own map[qm.EndpointID]count
+	own work
 	// flights are the own requests, each with the endpoint that it is at.
 	flights map[*qm.PlaceRequest]flight
 	// others is what other routers said of themselves, cells what collectors said of their cells, rest what the collector of the own cell
@@ -94,7 +94,7 @@
 		opts.Every = DefaultEvery
 	}
 	b := &Book{
-		opts: opts, own: make(map[qm.EndpointID]count), flights: make(map[*qm.PlaceRequest]flight),
+		opts: opts, own: work{}, flights: make(map[*qm.PlaceRequest]flight),
 		others: make(map[qm.InstanceID]heard), cells: make(map[qm.InstanceID]heard), rest: make(map[qm.InstanceID]heard),
 	}
 	b.loop = period.New(ctx, opts.Every, b.round)
@@ -156,30 +156,34 @@
 // round trades and publishes the estimate.
 func (b *Book) round(ctx context.Context) {
 	members, _ := b.opts.Board.Members.Load()
-	var live, peers []qm.Member
+	var live, peers qm.Members
 	for _, m := range members {
-		if m.Self || m.State == qm.Live && m.PeerAddress != "" {
-			live = append(live, m)
+		if !m.Self && (m.State != qm.Live || m.PeerAddress == "") {
+			continue
 		}
-		if !m.Self && m.State == qm.Live && m.PeerAddress != "" {
+		live = append(live, m)
+		if !m.Self {
 			peers = append(peers, m)
 		}
 	}
-	if b.opts.Few > 0 && len(live) > b.opts.Few {
+	if b.large(len(peers)) {
 		b.cellRound(ctx, live)
 	} else {
 		b.directRound(ctx, peers)
 	}
 	if ctx.Err() == nil {
-		b.opts.Publish(b.Estimate(len(peers), time.Now()))
-		b.tell(len(peers), time.Now())
+		loads, n := b.estimate(len(peers), time.Now())
+		b.opts.Publish(loads)
+		b.tell(len(peers), n)
 	}
 }
 
-// tell logs when the work of other routers becomes known or unknown.
-func (b *Book) tell(others int, now time.Time) {
+// large reports whether the routers form cells if there are others beside this one.
+func (b *Book) large(others int) bool { return b.opts.Few > 0 && others >= b.opts.Few }
+
+// tell logs when the work of other routers becomes known or unknown. n of the others are heard.
+func (b *Book) tell(others, n int) {
 	b.mu.Lock()
-	_, n := b.heardOf(others, now)
 	hears, failed := n > 0, b.failed
 	changed := others > 0 && hears != b.hears
 	if changed {
@@ -196,7 +200,7 @@
 }
 
 // directRound trades with a few routers.
-func (b *Book) directRound(ctx context.Context, peers []qm.Member) {
+func (b *Book) directRound(ctx context.Context, peers qm.Members) {
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	var wg sync.WaitGroup
 	for _, m := range peers[:min(Fanout, len(peers))] {
@@ -224,37 +228,33 @@
 
 // Traded takes what a router that trades with this one said and returns the answer.
 func (b *Book) Traded(theirs *peerpb.LoadShare) *peerpb.LoadShare {
-	now := time.Now()
-	switch theirs.GetScope() {
-	case peerpb.LoadScope_LOAD_SCOPE_MEMBER:
-		b.keep(theirs, now)
-		b.mu.Lock()
-		defer b.mu.Unlock()
-		counts, routers := b.allBut(now, qm.InstanceID(theirs.GetInstance()))
-		return b.encode(peerpb.LoadScope_LOAD_SCOPE_MEMBER, counts, routers)
-	case peerpb.LoadScope_LOAD_SCOPE_CELL:
-		b.keep(theirs, now)
-		return b.share(peerpb.LoadScope_LOAD_SCOPE_CELL)
+	b.keep(theirs)
+	if theirs.GetScope() != peerpb.LoadScope_LOAD_SCOPE_MEMBER {
+		return b.share(theirs.GetScope())
 	}
-	b.keep(theirs, now)
-	return b.share(peerpb.LoadScope_LOAD_SCOPE_OWN)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w, n := b.elsewhere(time.Now(), qm.InstanceID(theirs.GetInstance()))
+	w.add(b.own)
+	return b.encode(peerpb.LoadScope_LOAD_SCOPE_MEMBER, w, n+1)
 }
 
 // share returns the own counts, or those of the own cell.
 func (b *Book) share(scope peerpb.LoadScope) *peerpb.LoadShare {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if scope != peerpb.LoadScope_LOAD_SCOPE_CELL {
-		return b.encode(scope, b.own, 1)
+	w, n := work{}, 1
+	w.add(b.own)
+	if scope == peerpb.LoadScope_LOAD_SCOPE_CELL {
+		n += w.fresh(b.others, time.Now(), "")
 	}
-	counts, routers := b.cellSum(time.Now(), "")
-	return b.encode(scope, counts, routers)
+	return b.encode(scope, w, n)
 }
 
 // encode returns counts as a message.
-func (b *Book) encode(scope peerpb.LoadScope, counts map[qm.EndpointID]count, routers int) *peerpb.LoadShare {
+func (b *Book) encode(scope peerpb.LoadScope, w work, routers int) *peerpb.LoadShare {
 	out := &peerpb.LoadShare{Instance: string(b.opts.Self), Scope: scope, Routers: int32(routers)}
-	for id, c := range counts {
+	for id, c := range w {
 		out.Loads = append(out.Loads, &peerpb.EndpointLoad{
 			Endpoint: string(id), Requests: int32(c.requests), PendingTokens: int64(c.pending), Once: int32(c.once),
 		})
@@ -263,39 +263,45 @@
 }
 
 // decode returns the counts of a message.
-func decode(s *peerpb.LoadShare, now time.Time) heard {
-	h := heard{at: now, routers: max(1, int(s.GetRouters())), counts: make(map[qm.EndpointID]count, len(s.GetLoads()))}
+func decode(s *peerpb.LoadShare) heard {
+	h := heard{at: time.Now(), routers: max(1, int(s.GetRouters())), work: make(work, len(s.GetLoads()))}
 	for _, l := range s.GetLoads() {
-		h.counts[qm.EndpointID(l.GetEndpoint())] = count{int(l.GetRequests()), int(l.GetOnce()), qm.Tokens(l.GetPendingTokens())}
+		h.work[qm.EndpointID(l.GetEndpoint())] = count{int(l.GetRequests()), int(l.GetOnce()), qm.Tokens(l.GetPendingTokens())}
 	}
 	return h
 }
 
 // keep keeps the counts that another router sent.
-func (b *Book) keep(s *peerpb.LoadShare, now time.Time) {
+func (b *Book) keep(s *peerpb.LoadShare) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if id := qm.InstanceID(s.GetInstance()); s.GetScope() == peerpb.LoadScope_LOAD_SCOPE_CELL {
-		b.cells[id] = decode(s, now)
+		b.cells[id] = decode(s)
 	} else {
-		b.others[id] = decode(s, now)
+		b.others[id] = decode(s)
 	}
 }
 
 // take keeps the counts that another router answered with. In answer to a member they are those of all other routers.
 func (b *Book) take(s *peerpb.LoadShare) {
 	if s.GetScope() != peerpb.LoadScope_LOAD_SCOPE_MEMBER {
-		b.keep(s, time.Now())
+		b.keep(s)
 		return
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	clear(b.rest)
-	b.rest[qm.InstanceID(s.GetInstance())] = decode(s, time.Now())
+	b.rest[qm.InstanceID(s.GetInstance())] = decode(s)
 }
 
 // Estimate returns the work at each endpoint if there are others routers beside this one.
 func (b *Book) Estimate(others int, now time.Time) map[qm.EndpointID]qm.Load {
+	loads, _ := b.estimate(others, now)
+	return loads
+}
+
+// estimate returns the work at each endpoint, and the number of other routers that were heard.
+func (b *Book) estimate(others int, now time.Time) (map[qm.EndpointID]qm.Load, int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	sums, n := b.heardOf(others, now)
@@ -317,23 +323,19 @@
 		l.QueuedTokens += c.pending
 		out[e] = l
 	}
-	return out
+	return out, n
 }
 
 // heardOf returns the work of other routers as far as it was heard, and the number of those routers. The caller holds mu.
-func (b *Book) heardOf(others int, now time.Time) (map[qm.EndpointID]count, int) {
-	if b.opts.Few == 0 || others < b.opts.Few {
-		return sumOf(b.others, now, "")
-	}
-	if !b.collects {
-		return sumOf(b.rest, now, "")
-	}
-	sums, n := sumOf(b.others, now, "")
-	cells, m := sumOf(b.cells, now, "")
-	for e, c := range cells {
-		sums[e] = sums[e].plus(c)
+func (b *Book) heardOf(others int, now time.Time) (work, int) {
+	w := work{}
+	switch {
+	case !b.large(others):
+		return w, w.fresh(b.others, now, "")
+	case !b.collects:
+		return w, w.fresh(b.rest, now, "")
 	}
-	return sums, n + m
+	return b.elsewhere(now, "")
 }
 
 // Counted is a placer whose decisions are counted.
--- a/internal/member/loads/loads_test.go
+++ b/internal/member/loads/loads_test.go
@@ -78,7 +78,7 @@
 		if got := b.Estimate(5, time.Now())["e"].Running; got != 20 {
 			t.Errorf("more heard than there are: %d, want 20", got)
 		}
-		time.Sleep(2 * fresh)
+		time.Sleep(2 * freshTime)
 		if got := b.Estimate(40, time.Now()); len(got) != 0 {
 			t.Errorf("silent routers still count: %v", got)
 		}
