--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -1,5 +1,5 @@
-// Command standin runs one fake of an outside system (log, list, engine, service, weights, cache, the users' platform) or a load of callers. SIGTERM and SIGINT
-// stop it.
+// Command standin runs one fake of an outside system (log, list, engine, service, weights, cache, the users' platform) or a load of
+// callers. SIGTERM and SIGINT stop it.
 package main
 
 import (
--- a/exchange.go
+++ b/exchange.go
@@ -105,13 +105,9 @@
 type Answer struct {
 	Status int
 	Header http.Header
-	// Length is the length of the body in bytes, -1 if it is not known in advance.
-	Length int64
 	Body   io.ReadCloser
 	// Version is the weights version that the endpoint named, empty if none.
 	Version VersionID
-	// Leaving tells that the endpoint asked for no more requests on this connection.
-	Leaving bool
 }
 
 // Carrier sends offers to endpoints. If the error is an *Error with outcome NotRun, the endpoint did not run the exchange and
--- a/internal/client/carry/carry.go
+++ b/internal/client/carry/carry.go
@@ -96,8 +96,5 @@
 		_ = resp.Body.Close()
 		return nil, err
 	}
-	return &qm.Answer{
-		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Body: resp.Body, Version: version,
-		Leaving: resp.Close,
-	}, nil
+	return &qm.Answer{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, Version: version}, nil
 }
--- a/internal/client/pool/json.go
+++ b/internal/client/pool/json.go
@@ -19,7 +19,12 @@
 // ReadAll reads a whole answer of at most MaxAnswer bytes and closes it.
 func ReadAll(resp *http.Response) ([]byte, error) {
 	defer resp.Body.Close()
-	b, err := io.ReadAll(io.LimitReader(resp.Body, MaxAnswer+1))
+	return ReadBody(resp.Body)
+}
+
+// ReadBody reads the body of an answer of at most MaxAnswer bytes.
+func ReadBody(body io.Reader) ([]byte, error) {
+	b, err := io.ReadAll(io.LimitReader(body, MaxAnswer+1))
 	if err != nil {
 		return nil, errors.Wrap(err, "read answer")
 	}
--- a/internal/entry/opaque/http.go
+++ b/internal/entry/opaque/http.go
@@ -2,12 +2,9 @@
 
 import (
 	"net/http"
-	"strconv"
 	"strings"
 )
 
-func itoa(n int) string { return strconv.Itoa(n) }
-
 // hopByHop lists the headers that concern one connection only.
 var hopByHop = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding",
--- a/internal/entry/opaque/opaque.go
+++ b/internal/entry/opaque/opaque.go
@@ -8,6 +8,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -203,7 +204,7 @@
 func (a *answer) Whole(from *qm.Answer, body []byte) error {
 	a.head(from)
 	if from.Status != http.StatusNoContent && from.Status != http.StatusNotModified {
-		a.w.Header().Set("Content-Length", itoa(len(body)))
+		a.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	a.w.WriteHeader(from.Status)
 	_, err := a.w.Write(body)
--- a/internal/member/roster/endpoint.go
+++ b/internal/member/roster/endpoint.go
@@ -215,13 +215,16 @@
 func (r *Roster) SawVersion(id qm.EndpointID, model qm.ModelID, version qm.VersionID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if e := r.endpoints[id]; e != nil && e.view.Models[model] != version {
+	if e := r.endpoints[id]; e != nil {
 		r.sawVersion(e, model, version)
 	}
 }
 
-// sawVersion takes a version that an endpoint has. The caller holds r.mu.
-func (r *Roster) sawVersion(e *entry, model qm.ModelID, version qm.VersionID) {
+// sawVersion takes a version that an endpoint has and reports whether it was news. The caller holds r.mu.
+func (r *Roster) sawVersion(e *entry, model qm.ModelID, version qm.VersionID) bool {
+	if e.view.Models[model] == version {
+		return false
+	}
 	v := *e.view
 	v.Models = maps.Clone(v.Models)
 	if v.Models == nil {
@@ -232,13 +235,14 @@
 	v.Version, v.ListedAt = qm.JoinVersions(v.Models), time.Now()
 	r.setEntry(e, &v)
 	r.publish()
+	return true
 }
 
 // suspect marks an endpoint and keeps the evidence for peers. The caller holds r.mu.
 func (r *Roster) suspect(e *entry) {
 	if !e.suspect {
 		e.suspect = true
-		r.note(e, HintFailed)
+		r.note(e, Hint{Kind: HintFailed})
 	}
 }
 
@@ -246,7 +250,7 @@
 func (r *Roster) leaving(e *entry) {
 	if !e.saidLeaving {
 		e.saidLeaving = true
-		r.note(e, HintLeaving)
+		r.note(e, Hint{Kind: HintLeaving})
 	}
 }
 
--- a/internal/member/roster/hint.go
+++ b/internal/member/roster/hint.go
@@ -51,7 +51,7 @@
 		until := time.Now().Add(LoadingTime)
 		if until.After(e.loadingUntil.Add(hintSlack)) {
 			e.loadingUntil = until
-			r.note(e, HintLoading)
+			r.note(e, Hint{Kind: HintLoading})
 		}
 	})
 }
@@ -60,23 +60,18 @@
 func (r *Roster) Loaded(id qm.EndpointID, model qm.ModelID, version qm.VersionID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	e := r.endpoints[id]
-	if e == nil || e.view.Models[model] == version {
-		return
+	if e := r.endpoints[id]; e != nil && r.sawVersion(e, model, version) {
+		r.note(e, Hint{Kind: HintWeights, Model: model, Version: version})
 	}
-	r.sawVersion(e, model, version)
-	r.hints = append(r.hints, timedHint{Hint{
-		Endpoint: id, Incarnation: e.view.Incarnation, Kind: HintWeights, Model: model, Version: version,
-	}, time.Now()})
 }
 
-// note keeps own evidence for the peers. The caller holds r.mu.
-func (r *Roster) note(e *entry, k HintKind) {
-	if k == HintFailed {
+// note keeps own evidence about an endpoint for the peers. The caller holds r.mu.
+func (r *Roster) note(e *entry, h Hint) {
+	if h.Kind == HintFailed {
 		e.failedAt = time.Now()
 	}
-	h := timedHint{Hint{Endpoint: e.view.ID, Incarnation: e.view.Incarnation, Kind: k}, time.Now()}
-	r.hints = append(r.hints, h)
+	h.Endpoint, h.Incarnation = e.view.ID, e.view.Incarnation
+	r.hints = append(r.hints, timedHint{h, time.Now()})
 	if over := len(r.hints) - hintsKept; over > 0 {
 		r.hints = append(r.hints[:0:0], r.hints[over:]...)
 	}
@@ -111,11 +106,7 @@
 	}
 	switch h.Kind {
 	case HintWeights:
-		fresh := e.view.Models[h.Model] != h.Version && time.Since(e.view.ListedAt) > h.Age
-		if fresh {
-			r.sawVersion(e, h.Model, h.Version)
-		}
-		return fresh
+		return time.Since(e.view.ListedAt) > h.Age && r.sawVersion(e, h.Model, h.Version)
 	case HintLeaving:
 		if e.saidLeaving {
 			return false
--- a/internal/route/exchg/engines.go
+++ b/internal/route/exchg/engines.go
@@ -9,7 +9,6 @@
 	"github.com/pkg/errors"
 
 	qm "quetzalmount.dev/quetzalmount"
-	"quetzalmount.dev/quetzalmount/internal/client/pool"
 )
 
 // olderCost is the part of the objective that an engine with older weights than wanted must be quicker to be chosen: an answer on older
@@ -125,17 +124,6 @@
 	return out
 }
 
-func readAll(a *qm.Answer) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(a.Body, pool.MaxAnswer+1))
-	if err != nil {
-		return nil, errors.Wrap(err, "read answer")
-	}
-	if len(body) > pool.MaxAnswer {
-		return nil, errors.Errorf("answer exceeds %d bytes", pool.MaxAnswer)
-	}
-	return body, nil
-}
-
 func isEnd(err error) bool { return errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) }
 
 // outcomeOf names the outcome of an attempt for the log.
--- a/internal/route/exchg/exchg.go
+++ b/internal/route/exchg/exchg.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 
 	qm "quetzalmount.dev/quetzalmount"
+	"quetzalmount.dev/quetzalmount/internal/client/pool"
 	"quetzalmount.dev/quetzalmount/internal/infra/logs"
 	"quetzalmount.dev/quetzalmount/internal/infra/meter"
 	"quetzalmount.dev/quetzalmount/internal/limit/shed"
@@ -254,7 +255,7 @@
 
 // whole reads a complete answer and hands it over. A server error is kept, for another endpoint may do better.
 func (t *run) whole(p *placed, a *qm.Answer) error {
-	body, err := readAll(a)
+	body, err := pool.ReadBody(a.Body)
 	if err != nil {
 		return qm.Fail(qm.CodeEndpoint, "read answer", p.decision.Endpoint.Address, err)
 	}
--- a/internal/route/place/homes.go
+++ b/internal/route/place/homes.go
@@ -1,6 +1,10 @@
 package place
 
-import "quetzalmount.dev/quetzalmount"
+import (
+	"slices"
+
+	"quetzalmount.dev/quetzalmount"
+)
 
 // maxHomes bounds the engines that the hash selects for a prefix. A prefix that needs more is not narrowed by it; the next
 // step of the prompt narrows the choice.
@@ -66,24 +70,10 @@
 }
 
 // has reports whether an engine is a home.
-func (h *homes) has(place int) bool {
-	for _, at := range h.places[:h.n] {
-		if at == place {
-			return true
-		}
-	}
-	return false
-}
+func (h *homes) has(place int) bool { return slices.Contains(h.places[:h.n], place) }
 
-// hot reports whether an engine is one of several homes.
-func (h *homes) hot(place int) bool {
-	for _, at := range h.places[:h.n] {
-		if at == place {
-			return h.n > 1
-		}
-	}
-	return h.n == 0
-}
+// hot reports whether an engine is one of several homes. Without a selection all are.
+func (h *homes) hot(place int) bool { return h.n == 0 || h.n > 1 && h.has(place) }
 
 // best returns the home with the lowest score, or -1.
 func (h *homes) best(scores []float64) int {
--- a/internal/route/place/place.go
+++ b/internal/route/place/place.go
@@ -145,8 +145,10 @@
 		return nil
 	}
 	key := lastShared(r)
-	if first := r.Spans[0]; p.homes.n > 0 && p.homes.places[0] == chosen && !p.holds(first.Key, chosen) {
-		key = first.Key
+	if first := r.Spans[0].Key; p.homes.n > 0 && p.homes.places[0] == chosen {
+		if _, holds := p.seen(first, p.fleet.list[chosen], p.fleet.at(chosen).epoch); !holds {
+			key = first
+		}
 	}
 	var best *qm.Endpoint
 	var most uint64
@@ -161,16 +163,6 @@
 	return best
 }
 
-// holds reports whether an engine was seen to hold a prefix since its epoch began.
-func (p *Expected) holds(key qm.PrefixKey, at int) bool {
-	for _, h := range p.table.Get(key) {
-		if h.Engine == p.fleet.list[at] && h.Epoch == p.fleet.at(at).epoch {
-			return true
-		}
-	}
-	return false
-}
-
 // lastShared returns the key of the longest prefix that other prompts may share.
 func lastShared(r *qm.PlaceRequest) qm.PrefixKey {
 	s := shared(r)
@@ -301,19 +293,17 @@
 func (p *Expected) settle(r *qm.PlaceRequest, group qm.PrefixKey, n int, sight float64) {
 	p.homes.reset()
 	total := math.Max(1, p.hot.Count(group))
-	if p.opt.Direct {
-		key, want := lastShared(r), 1
-		if total >= p.opt.Sample {
-			want = p.width(key, total, n)
-		}
-		p.selectHomes(key, min(want, maxHomes, n))
-		return
-	}
-	if total >= p.opt.Sample && sight >= p.opt.LeastSight {
+	var key qm.PrefixKey
+	switch {
+	case p.opt.Direct:
+		key = lastShared(r)
+	case total >= p.opt.Sample && sight >= p.opt.LeastSight:
 		p.narrow(r, total, n)
 		return
+	default:
+		key = affinity(r, p.opt.HomeShare)
 	}
-	key, want := affinity(r, p.opt.HomeShare), 1
+	want := 1
 	if total >= p.opt.Sample {
 		want = p.width(key, total, n)
 	}
