--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -8,7 +8,6 @@
 	"io"
 	"math/rand/v2"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"time"
 
@@ -16,6 +15,7 @@
 	"github.com/urfave/cli/v3"
 	"golang.org/x/sync/errgroup"
 
+	"quetzalmount.dev/quetzalmount/internal/soak/fleet"
 	"quetzalmount.dev/quetzalmount/internal/soak/round"
 )
 
@@ -54,10 +54,8 @@
 			return errors.Wrap(err, "make folder for programs")
 		}
 		defer func() { _ = os.RemoveAll(dir) }()
-		build := exec.CommandContext(ctx, "go", "build", "-o", dir, "quetzalmount.dev/quetzalmount/cmd/quetzalmount", "quetzalmount.dev/quetzalmount/cmd/standin")
-		build.Stderr = os.Stderr
-		if err := build.Run(); err != nil {
-			return errors.Wrap(err, "build programs")
+		if err := fleet.Build(ctx, dir); err != nil {
+			return err
 		}
 		bin = dir
 	}
--- a/internal/soak/fleet/fleet.go
+++ b/internal/soak/fleet/fleet.go
@@ -4,14 +4,15 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -63,9 +64,9 @@
 type Router struct {
 	Name string
 	// Callers is the address that it tells callers, Directory where it tells them.
-	Callers, Directory    string
-	ready, settings       string
-	CallerLink, StoreLink *link.Link
+	Callers, Directory     string
+	ready, peers, settings string
+	CallerLink, StoreLink  *link.Link
 
 	mu    sync.Mutex
 	proc  *proc
@@ -91,6 +92,13 @@
 	busy    sync.Mutex
 }
 
+// Build builds the programs of a fleet into a folder.
+func Build(ctx context.Context, dir string) error {
+	const module = "quetzalmount.dev/quetzalmount/cmd/"
+	out, err := exec.CommandContext(ctx, "go", "build", "-o", dir, module+"quetzalmount", module+"standin").CombinedOutput()
+	return errors.Wrapf(err, "build programs: %s", out)
+}
+
 // Fleet is what runs in one round.
 type Fleet struct {
 	opts     Options
@@ -226,7 +234,7 @@
 // Behind returns the engines that do not have the newest weights.
 func (f *Fleet) Behind() []string {
 	f.mu.Lock()
-	all, version := append([]*Engine(nil), f.engines...), f.version
+	all, version := slices.Clone(f.engines), f.version
 	f.mu.Unlock()
 	var out []string
 	for _, e := range all {
@@ -309,7 +317,7 @@
 		}
 		addresses[k] = a
 	}
-	r.Callers, r.ready, r.Directory = addresses[0], addresses[1], addresses[3]
+	r.Callers, r.ready, r.peers, r.Directory = addresses[0], addresses[1], addresses[2], addresses[3]
 	var err error
 	if r.CallerLink, err = link.New(r.Callers); err != nil {
 		return err
@@ -317,33 +325,16 @@
 	if r.StoreLink, err = link.New(f.operator.Address); err != nil {
 		return err
 	}
-	seed := addresses[2]
-	if i > 0 {
-		seed = f.seed()
-	}
+	f.Routers = append(f.Routers, r)
 	r.settings = filepath.Join(f.opts.Dir, r.Name+".ini")
-	if err := os.WriteFile(r.settings, []byte(f.settings(r, addresses, seed)), 0o600); err != nil {
+	if err := os.WriteFile(r.settings, []byte(f.settings(r, addresses[4])), 0o600); err != nil {
 		return errors.Wrap(err, "write settings")
 	}
-	f.Routers = append(f.Routers, r)
 	return f.launch(r)
 }
 
-// seed returns the address at which the first router talks to others.
-func (f *Fleet) seed() string {
-	data, err := os.ReadFile(f.Routers[0].settings)
-	if err != nil {
-		return ""
-	}
-	for line := range strings.Lines(string(data)) {
-		if a, ok := strings.CutPrefix(line, "Peers = "); ok {
-			return strings.TrimSpace(a)
-		}
-	}
-	return ""
-}
-
-func (f *Fleet) settings(r *Router, a [5]string, seed string) string {
+// settings returns the settings of a router. The first router is the one that the others ask.
+func (f *Fleet) settings(r *Router, metrics string) string {
 	return fmt.Sprintf(`[Instance]
 Name = %s
 DataCentre = z
@@ -377,7 +368,7 @@
 RepeatRatio = 0.2
 RepeatExtra = 50
 RepeatWindowS = 10
-`, r.Name, a[0], a[1], a[2], a[3], a[4], seed, r.StoreLink.Address(), Heartbeat.Milliseconds(), Grace.Seconds(), Drain.Milliseconds(),
+`, r.Name, r.Callers, r.ready, r.peers, r.Directory, metrics, f.Routers[0].peers, r.StoreLink.Address(), Heartbeat.Milliseconds(), Grace.Seconds(), Drain.Milliseconds(),
 		Apply.Milliseconds(), leaseTime.Milliseconds(), versionTime.Milliseconds())
 }
 
--- a/internal/soak/round/round_test.go
+++ b/internal/soak/round/round_test.go
@@ -3,13 +3,13 @@
 import (
 	"bufio"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
+	"quetzalmount.dev/quetzalmount/internal/soak/fleet"
 	"quetzalmount.dev/quetzalmount/internal/soak/round"
 )
 
@@ -39,9 +39,8 @@
 // TestShort plays a short round with a fixed seed, and whole rounds with the seeds that broke a promise once.
 func TestShort(t *testing.T) {
 	bin := t.TempDir()
-	build := exec.Command("go", "build", "-o", bin, "quetzalmount.dev/quetzalmount/cmd/quetzalmount", "quetzalmount.dev/quetzalmount/cmd/standin")
-	if out, err := build.CombinedOutput(); err != nil {
-		t.Fatalf("build programs: %v\n%s", err, out)
+	if err := fleet.Build(t.Context(), bin); err != nil {
+		t.Fatal(err)
 	}
 	play := func(seed uint64, length time.Duration, troubles int) {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
