Take the ends of entries from routers that can't read the store

So a router met pages of the one that was cut off all the time.

Ruled out: the clean-up itself (it touches no membership), and a lapse that is kept for two seconds after the store's return: that router's store was not disturbed.

--- a/internal/state/newest/newest.go
+++ b/internal/state/newest/newest.go
@@ -48,8 +48,8 @@
 	return news
 }
 
-// Replace takes a whole page of another router if it is newer, and returns its news. Keys that it does not have were dropped, so that
-// a read that began before does not bring them back.
+// Replace takes a whole page of another router if it is newer, and returns its news. Keys that it does not have were dropped: they are
+// among the news without a value, since the records of their ends are never read, and a read that began before does not bring them back.
 func (f *Fold) Replace(p Page) (news []Record, taken bool) {
 	if next, known := f.Position(); known && p.Next <= next {
 		return nil, false
@@ -62,10 +62,11 @@
 	for key := range f.records {
 		if !has[key] {
 			delete(f.records, key)
+			news = append(news, Record{Key: key, Offset: p.Next - 1})
 		}
 	}
 	f.mu.Unlock()
-	return f.Put(p.Records, p.Next), true
+	return append(news, f.Put(p.Records, p.Next)...), true
 }
 
 // Position returns the offset to read on from, and whether all records before it are known.
