--- a/internal/member/roster/endpoint.go
+++ b/internal/member/roster/endpoint.go
@@ -53,7 +53,7 @@
 		seen[l.ID] = true
 		e := r.endpoints[l.ID]
 		if e == nil {
-			e = &endpoint{view: &qm.Endpoint{}}
+			e = &endpoint{view: &qm.Endpoint{ID: l.ID, Address: l.Address}}
 			r.endpoints[l.ID] = e
 			r.sorted, r.assignmentStale = nil, true
 		}
@@ -89,7 +89,7 @@
 			"ListedLeaving", e.listedLeaving, "SaidLeaving", e.reportedLeaving, "Suspect", e.suspect, "Failures", e.failures,
 			"LoadingMs", max(0, time.Until(e.loadingUntil).Milliseconds()), "ListedAgeMs", ageMs(v.ListedAt))
 	}
-	if v.Version != e.view.Version && e.view.ID != "" {
+	if v.Version != e.view.Version && !e.view.ListedAt.IsZero() {
 		r.opts.Log.Info("endpoint has weights", logs.Endpoint, v.ID, "From", e.view.Version, "To", v.Version, "ListedAgeMs", ageMs(e.view.ListedAt))
 	}
 	if !sameView(e.view, v) {
