Keep routers that an incomplete list of members lacks

Cause: the members are the owners of the partitions of the store's group. In an outage of over 5 s all memberships expire. After it the store lists a router only when it has joined again and the previous owner of its partitions has renewed twice. Each router took that list for complete and forgot the routers that it lacks, also those that it had heard 59 ms before. It then exchanged nothing with them, so that a configuration came by no second way when the long poll was late. Besides, the directory named 1 or 2 of 6 routers, and each router took a part of the retry budget that is meant for 1 or 2.

The roster drops an unlisted router at once if it is suspect or leaving, so that routers that ended are forgotten as before.

Ruled out: keeping a router as long as it was heard lately. With 420 routers a router hears from each other one about every 200 s.

--- a/internal/member/roster/member.go
+++ b/internal/member/roster/member.go
@@ -41,10 +41,14 @@
 	Version int64
 }
 
-// mergeMembers applies the routers of the instance list and removes those that it no longer contains. The caller holds r.mu.
+// mergeMembers applies the routers of the instance list and removes those that it no longer contains, or that are unlisted and not known to
+// be live. The caller holds r.mu.
 func (r *Roster) mergeMembers(list []qm.Member) {
 	seen := map[qm.InstanceID]bool{r.opts.Self.Instance: true}
 	for _, l := range list {
+		if known := r.members[l.Instance]; l.Unlisted && (known == nil || known.state() != qm.Live) {
+			continue
+		}
 		seen[l.Instance] = true
 		if l.Instance == r.opts.Self.Instance {
 			continue
--- a/internal/member/roster/roster_test.go
+++ b/internal/member/roster/roster_test.go
@@ -150,6 +150,11 @@
 			f.members, f.endpoints = f.members[:1], f.endpoints[1:]
 			f.wait(3 * time.Second)
 		}, states{"r1": live, "r2": live, "e2": live}, nil},
+		{"unlisted routers, one of which does not answer", func(f *fixture) {
+			f.roster.MarkPeerFailed("r2", time.Now())
+			f.members = []qm.Member{{Instance: "r2", Unlisted: true}, {Instance: "r3", Unlisted: true}, {Instance: "r4", Unlisted: true}}
+			f.wait(3 * time.Second)
+		}, states{"r1": live, "r3": live, "e1": live, "e2": live}, nil},
 		{"router does not answer", func(f *fixture) { f.roster.MarkPeerFailed("r2", time.Now()); f.wait(time.Minute) },
 			states{"r1": live, "r2": suspect, "r3": live, "e1": live, "e2": live}, nil},
 		{"router answers again", func(f *fixture) {
--- a/views.go
+++ b/views.go
@@ -44,6 +44,8 @@
 	TableOffset Offset
 	// IsSelf is true for this router.
 	IsSelf bool
+	// Unlisted is true if the last list of members lacks the router. The router has ended, or the list is incomplete after an outage.
+	Unlisted bool
 }
 
 // Endpoint is this router's view of an engine or of a process of a plain service. It is immutable.
