--- a/internal/member/census/census.go
+++ b/internal/member/census/census.go
@@ -105,11 +105,24 @@
 	return true
 }
 
+// IsComplete reports whether every existing endpoint is registered: the registry is reachable, and has been for registrationGrace if it was
+// unreachable before.
+func (r *Registrations) IsComplete(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.inGrace(now)
+}
+
+// inGrace reports whether endpoints may exist whose registration has ended. The caller holds mu.
+func (r *Registrations) inGrace(now time.Time) bool {
+	return r.unreachable || !r.reachableSince.IsZero() && now.Before(r.reachableSince.Add(registrationGrace))
+}
+
 // List returns the endpoints that exist, ordered by ID, and deletes the registrations of those that are gone.
 func (r *Registrations) List(now time.Time) []*qm.Endpoint {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	inGrace := r.unreachable || (!r.reachableSince.IsZero() && now.Before(r.reachableSince.Add(registrationGrace)))
+	inGrace := r.inGrace(now)
 	out := make([]*qm.Endpoint, 0, len(r.registrations))
 	for id, reg := range r.registrations {
 		if !reg.endedAt.IsZero() && !inGrace {
--- a/internal/member/census/census_test.go
+++ b/internal/member/census/census_test.go
@@ -73,6 +73,9 @@
 	back := now.Add(time.Minute)
 	r.SetReachable(true, back)
 	expect(back.Add(time.Second), "one second after its return", "a", "b")
+	if r.IsComplete(back.Add(time.Second)) || !r.IsComplete(back.Add(3*time.Second)) {
+		t.Error("the registrations must be complete three seconds after the return and not after one")
+	}
 	register(r, "a")
 	expect(back.Add(3*time.Second), "three seconds after its return", "a")
 	r.EndMissing(map[qm.EndpointID]bool{"b": true}, back.Add(4*time.Second))
