Bound the memory that responses without end take

Callers would see: a router on a machine of 112 to 134 MB is killed for its memory, with all requests in it.

Cause: the generated client of the peer protocol reads a body without a limit; in its timeout of 500 ms that is over 100 MB on loopback. Every other body had 16 MB, as many at a time as there are calls, and a head 10 MB.

--- a/internal/client/pool/json.go
+++ b/internal/client/pool/json.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -10,28 +11,24 @@
 	"github.com/pkg/errors"
 )
 
-// MaxResponseBytes limits a response body that is read into memory.
-const MaxResponseBytes = 16 << 20
-
 // maxErrorTextBytes limits the part of an error response that is quoted in the error message.
 const maxErrorTextBytes = 256
 
-// ReadAll reads a response body of at most MaxResponseBytes and closes it.
+// ReadAll reads a response body within the limits of LimitBody and closes it.
 func ReadAll(resp *http.Response) ([]byte, error) {
-	defer resp.Body.Close()
-	return ReadBody(resp.Body)
+	ctx := context.Background()
+	if resp.Request != nil {
+		ctx = resp.Request.Context()
+	}
+	return ReadBody(ctx, resp.Body)
 }
 
-// ReadBody reads a response body of at most MaxResponseBytes. It does not close it.
-func ReadBody(body io.Reader) ([]byte, error) {
-	b, err := io.ReadAll(io.LimitReader(body, MaxResponseBytes+1))
-	if err != nil {
-		return nil, errors.Wrap(err, "read answer")
-	}
-	if len(b) > MaxResponseBytes {
-		return nil, errors.Errorf("answer exceeds %d bytes", MaxResponseBytes)
-	}
-	return b, nil
+// ReadBody is like ReadAll for a body alone. It waits for other large bodies until ctx ends.
+func ReadBody(ctx context.Context, body io.ReadCloser) ([]byte, error) {
+	limited := LimitBody(ctx, body)
+	defer limited.Close()
+	b, err := io.ReadAll(limited)
+	return b, errors.Wrap(err, "read answer")
 }
 
 // Decode unmarshals a JSON response and closes it. It fails if the status is not 200.
--- a/internal/client/pool/pool.go
+++ b/internal/client/pool/pool.go
@@ -88,11 +88,12 @@
 
 func (p *Pool) newTransport() *http.Transport {
 	return &http.Transport{
-		DialContext:         p.dial,
-		MaxIdleConnsPerHost: p.opts.IdlePerHost,
-		IdleConnTimeout:     p.opts.IdleTimeout,
-		DisableCompression:  true,
-		TLSClientConfig:     p.opts.TLS,
+		DialContext:            p.dial,
+		MaxIdleConnsPerHost:    p.opts.IdlePerHost,
+		IdleConnTimeout:        p.opts.IdleTimeout,
+		MaxResponseHeaderBytes: maxHeadBytes,
+		DisableCompression:     true,
+		TLSClientConfig:        p.opts.TLS,
 	}
 }
 
--- a/internal/member/peer/client.go
+++ b/internal/member/peer/client.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	qm "quetzalmount.dev/quetzalmount"
+	"quetzalmount.dev/quetzalmount/internal/client/pool"
 	"quetzalmount.dev/quetzalmount/internal/wire/peerpb"
 )
 
@@ -18,7 +19,7 @@
 	timeout time.Duration
 }
 
-// headerStripper removes headers that peers do not need. They would take a third of a message.
+// headerStripper removes headers that peers do not need, which would take a third of a message, and limits the response.
 type headerStripper struct{ next peerpb.HTTPClient }
 
 // Do sends the request without those headers.
@@ -27,7 +28,12 @@
 	r.Header.Set("User-Agent", "")
 	r.Header.Del("Accept")
 	r.Header.Del("Twirp-Version")
-	return s.next.Do(r)
+	resp, err := s.next.Do(r)
+	if err == nil {
+		// The generated code reads a body without a limit.
+		resp.Body = pool.LimitBody(r.Context(), resp.Body)
+	}
+	return resp, err
 }
 
 // stub returns a client of the peer protocol for router m.
--- a/internal/route/exchg/exchg.go
+++ b/internal/route/exchg/exchg.go
@@ -241,7 +241,7 @@
 	if t.x.Route.Kind.IsStreamed() && a.Status < 300 {
 		err = t.relayEvents(p, a, stall)
 	} else {
-		err = t.relayComplete(p, a)
+		err = t.relayComplete(ctx, p, a)
 	}
 	return t.timeoutError(ctx, p, err)
 }
@@ -271,8 +271,8 @@
 
 // relayComplete reads a complete response and writes it to the caller. It keeps a server error as the fallback if the exchange may be
 // repeated, since another endpoint may succeed.
-func (t *task) relayComplete(p *placedAttempt, resp *qm.Response) error {
-	body, err := pool.ReadBody(resp.Body)
+func (t *task) relayComplete(ctx context.Context, p *placedAttempt, resp *qm.Response) error {
+	body, err := pool.ReadBody(ctx, resp.Body)
 	if err != nil {
 		return qm.Fail(qm.CodeEndpointFailed, "read body", p.placement.Endpoint.Address, err)
 	}
