Limit calls from other routers to the size of a response

A router would be killed for its memory if a call on the peer listener has a body without end: the generated server reads it whole.

--- a/internal/member/peer/server.go
+++ b/internal/member/peer/server.go
@@ -7,6 +7,7 @@
 	"github.com/twitchtv/twirp"
 
 	qm "quetzalmount.dev/quetzalmount"
+	"quetzalmount.dev/quetzalmount/internal/client/pool"
 	"quetzalmount.dev/quetzalmount/internal/wire/peerpb"
 )
 
@@ -14,7 +15,8 @@
 
 // Handler returns the handler of calls from other routers, to be served below peerpb.PeerPathPrefix.
 func (p *Peer) Handler() http.Handler {
-	h := peerpb.NewPeerServer(p)
+	// The generated code reads a body without a limit.
+	h := http.MaxBytesHandler(peerpb.NewPeerServer(p), pool.MaxResponseBytes)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		// Peers do not use the Date header; nil prevents net/http from adding it.
 		w.Header()["Date"] = nil
