--- a/internal/standin/flood/flood.go
+++ b/internal/standin/flood/flood.go
@@ -47,14 +47,29 @@
 	}
 }
 
-// serve sends on one connection until a write fails.
+// serve sends on one connection until the client closes it.
 func (s *Server) serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
-	for text := s.head; ; text = s.more {
-		n, err := io.WriteString(c, text)
-		s.sent.Add(int64(n))
-		if err != nil {
+	Send(countingWriter{c, &s.sent}, s.head, s.more)
+}
+
+// Send writes head once and then repeats more until a write fails.
+func Send(w io.Writer, head, more string) {
+	for text := head; ; text = more {
+		if _, err := io.WriteString(w, text); err != nil {
 			return
 		}
 	}
 }
+
+// countingWriter adds the number of bytes written to w to sent.
+type countingWriter struct {
+	w    io.Writer
+	sent *atomic.Int64
+}
+
+func (c countingWriter) Write(p []byte) (int, error) {
+	n, err := c.w.Write(p)
+	c.sent.Add(int64(n))
+	return n, err
+}
