--- a/internal/client/pool/limit.go
+++ b/internal/client/pool/limit.go
@@ -16,7 +16,7 @@
 	// maxLargeBodies is the number of larger bodies that are read at the same time. It keeps endless bodies from several endpoints from
 	// exhausting the memory of an instance, 112 MB on the smallest ones.
 	maxLargeBodies = 2
-	// maxHeadBytes limits the head of a response.
+	// maxHeadBytes limits the head of a response. Heads are read by net/http, outside of LimitBody, and any number at the same time.
 	maxHeadBytes = 64 << 10
 )
 
--- a/internal/member/census/census.go
+++ b/internal/member/census/census.go
@@ -1,8 +1,8 @@
-// Package census derives the list of existing endpoints from their registrations, which expire and are renewed.
+// Package census derives the lists of existing endpoints and routers from registrations and memberships, which expire and are renewed.
 //
 // If a registration ends while the registry is reachable, the endpoint is gone. If it ends while the registry is unreachable, the endpoint
 // may still exist. Such endpoints stay in the list until registrationGrace after the registry is reachable again; by then those that exist
-// have registered again.
+// have registered again. For routers see Members.
 package census
 
 import (
