Read the table's edits again within the time in which they must be in force

An accepted edit was in force after up to 10 s, where 4 s are promised. TestMissedWakeup of package config failed before: none of three routers had the edit after 4 s.

--- a/internal/state/config/controller.go
+++ b/internal/state/config/controller.go
@@ -9,6 +9,7 @@
 
 	qm "quetzalmount.dev/quetzalmount"
 	"quetzalmount.dev/quetzalmount/internal/state/table"
+	"quetzalmount.dev/quetzalmount/internal/state/watch"
 )
 
 // Controller maintains the configuration table of one router.
@@ -119,7 +120,8 @@
 		c.mu.Lock()
 		from := c.reader.Next()
 		c.mu.Unlock()
-		b, err := readLog(ctx, c.opts.Log, from, longPoll)
+		members, _ := c.opts.Board.Members.Load()
+		b, err := readLog(ctx, c.opts.Log, from, watch.Wait(members, inForceBound, longPoll))
 		if err != nil {
 			c.opts.Logger.V(1).Info("reading the log failed", "Error", err.Error())
 		}
@@ -132,7 +134,7 @@
 }
 
 func readLog(ctx context.Context, log qm.Log, from qm.Offset, wait time.Duration) (qm.Batch, error) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	ctx, cancel := context.WithTimeout(ctx, wait+readTimeoutSlack)
 	defer cancel()
 	b, err := log.Read(ctx, Stream, from, maxReadRecords, wait)
 	return b, errors.Wrapf(err, "read %s from offset %d", Stream, from)
--- a/internal/state/config/options.go
+++ b/internal/state/config/options.go
@@ -63,10 +63,12 @@
 
 // Times of the controller and the editor.
 const (
-	// longPoll is how long a read waits for new records, which limits an idle router to six reads a minute.
+	// inForceBound is the time within which an accepted edit is in force on all routers.
+	inForceBound = 4 * time.Second
+	// longPoll is the longest time for which a read waits for new records; see watch.Wait.
 	longPoll = 10 * time.Second
-	// readTimeout ends a read on a stalled connection.
-	readTimeout = longPoll + 5*time.Second
+	// readTimeoutSlack is added to the wait of a read for its timeout, which ends a read on a stalled connection.
+	readTimeoutSlack = 5 * time.Second
 	// maxReadRecords is the maximum number of records in one read.
 	maxReadRecords = 256
 	// minRetryDelay and maxRetryDelay bound the delay after a failed call to the log. The maximum is short because an
