Read the other instances of the list if one of them is unreadable

Report of other operators: one odd entry, deeply nested, with a number too large or with a port out of range, and the machines that read the list stop following it. It could happen with the product's own instance list: one instance with a field of another type or nested deeper than package json decodes made the whole list unreadable, until somebody removed it. Addresses without a port or with one out of range were kept.

The instances are split without decoding them and decoded one by one; the unreadable ones are counted, and a log line tells when their number changes.

--- a/internal/client/lister/lister.go
+++ b/internal/client/lister/lister.go
@@ -2,10 +2,16 @@
 package lister
 
 import (
+	"bytes"
 	"cmp"
 	"context"
+	"encoding/json"
+	"io"
+	"net"
 	"net/http"
 	"slices"
+	"strconv"
+	"strings"
 
 	"github.com/pkg/errors"
 
@@ -26,13 +32,13 @@
 	State        qm.MemberState
 }
 
-type wireList struct{ Instances []wireInstance }
-
 // List is the content of the instance list. Routers and Endpoints are sorted by ID. The group of a plain service's endpoint
 // is the ID of the service.
 type List struct {
 	Routers   qm.Members
 	Endpoints qm.Endpoints
+	// Ignored counts the instances that don't decode or have no valid address.
+	Ignored int
 }
 
 // Client reads the instance list.
@@ -58,20 +64,109 @@
 	if err != nil {
 		return List{}, errors.Wrapf(err, "list instances at %s", c.addr)
 	}
-	a, err := pool.Decode[wireList](resp)
+	body, err := pool.ReadAll(resp)
+	if err == nil && resp.StatusCode != http.StatusOK {
+		err = errors.Errorf("status %d", resp.StatusCode)
+	}
+	var elements []json.RawMessage
+	if err == nil {
+		elements, err = arrayElements(body, "Instances")
+	}
 	if err != nil {
 		return List{}, errors.Wrapf(err, "list instances at %s", c.addr)
 	}
-	return newList(a.Instances), nil
+	instances := decodeInstances(elements)
+	list := newList(instances)
+	list.Ignored = len(elements) - len(instances)
+	return list, nil
+}
+
+// decodeInstances decodes instances. It skips those that don't decode or have no valid address: another program may have written them,
+// and the others hold.
+func decodeInstances(elements []json.RawMessage) []wireInstance {
+	var out []wireInstance
+	for _, raw := range elements {
+		var e wireInstance
+		if json.Unmarshal(raw, &e) != nil || e.ID == "" || !isAddress(e.Address) || e.PeerAddress != "" && !isAddress(e.PeerAddress) ||
+			e.AdminAddress != "" && !isAddress(e.AdminAddress) {
+			continue
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
+// isAddress reports whether s has the form host:port.
+func isAddress(s string) bool {
+	host, port, err := net.SplitHostPort(s)
+	_, portErr := strconv.ParseUint(port, 10, 16)
+	return err == nil && portErr == nil && host != ""
+}
+
+// arrayElements returns the elements of the array that is a member of a JSON object. The name is matched as by package json. The elements
+// are not decoded, and may be nested more deeply than package json decodes.
+func arrayElements(object []byte, name string) ([]json.RawMessage, error) {
+	d := json.NewDecoder(bytes.NewReader(object))
+	d.UseNumber() // numbers that no type can hold are no error here
+	if t, err := d.Token(); err != nil || t != json.Delim('{') {
+		return nil, errors.Errorf("decode answer: got %v, want an object (%v)", t, err)
+	}
+	var out []json.RawMessage
+	for d.More() {
+		key, err := d.Token()
+		if err != nil {
+			return nil, errors.Wrap(err, "decode answer")
+		}
+		if k, ok := key.(string); !ok || !strings.EqualFold(k, name) {
+			if err := skipValue(d); err != nil {
+				return nil, err
+			}
+			continue
+		}
+		if t, err := d.Token(); err != nil || t != json.Delim('[') {
+			return nil, errors.Errorf("decode answer: %s is %v, want an array (%v)", name, t, err)
+		}
+		for d.More() {
+			start := d.InputOffset()
+			if err := skipValue(d); err != nil {
+				return nil, err
+			}
+			out = append(out, bytes.TrimLeft(object[start:d.InputOffset()], ", \t\r\n"))
+		}
+		if _, err := d.Token(); err != nil {
+			return nil, errors.Wrap(err, "decode answer")
+		}
+	}
+	_, err := d.Token()
+	return out, errors.Wrap(err, "decode answer")
+}
+
+// skipValue reads the next value, however deeply it is nested.
+func skipValue(d *json.Decoder) error {
+	for depth := 0; ; {
+		t, err := d.Token()
+		if err != nil {
+			if err == io.EOF {
+				err = io.ErrUnexpectedEOF
+			}
+			return errors.Wrap(err, "decode answer")
+		}
+		switch t {
+		case json.Delim('{'), json.Delim('['):
+			depth++
+		case json.Delim('}'), json.Delim(']'):
+			depth--
+		}
+		if depth == 0 {
+			return nil
+		}
+	}
 }
 
-// newList converts instances to a List. It skips those without an id or address and treats any state but Leaving as Live.
+// newList converts instances to a List. It treats any state but Leaving as Live.
 func newList(entries []wireInstance) List {
 	var l List
 	for _, e := range entries {
-		if e.ID == "" || e.Address == "" {
-			continue
-		}
 		if e.State != qm.Leaving {
 			e.State = qm.Live
 		}
--- a/internal/client/lister/lister_test.go
+++ b/internal/client/lister/lister_test.go
@@ -38,6 +38,7 @@
 			{ID: "e1", Kind: qm.KindEngine, Group: "tab", Address: "b:0", State: qm.Live},
 			{ID: "e2", Kind: qm.KindEngine, Group: "tab", Address: "b:1", DataCentre: "nadi", State: qm.Leaving},
 		},
+		Ignored: 1,
 	}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("Get() (-want +got):\n%s", diff)
--- a/internal/entry/server/adapt.go
+++ b/internal/entry/server/adapt.go
@@ -23,6 +23,10 @@
 // readList reads the instance list and returns its routers and endpoints.
 func (c *components) readList(ctx context.Context) ([]qm.Member, []*qm.Endpoint, error) {
 	list, err := c.list.Get(ctx)
+	if err == nil && list.Ignored != c.ignoredInstances {
+		c.ignoredInstances = list.Ignored
+		c.log.Info("unreadable instances in the instance list ignored", "Instances", list.Ignored)
+	}
 	return list.Routers, list.Endpoints, err
 }
 
--- a/internal/entry/server/components.go
+++ b/internal/entry/server/components.go
@@ -47,13 +47,15 @@
 	// closers close the components. They are called in reverse order.
 	closers []func()
 
-	board    *board.Board
-	meter    *meter.Meter
-	logs     *logsvc.Client
-	list     *lister.Client
-	engines  *engine.Client
-	services *plain.Client
-	peerHTTP *http.Client
+	board *board.Board
+	meter *meter.Meter
+	logs  *logsvc.Client
+	list  *lister.Client
+	// ignoredInstances is the number of unreadable instances in the instance list. Only the loop that reads the list uses it.
+	ignoredInstances int
+	engines          *engine.Client
+	services         *plain.Client
+	peerHTTP         *http.Client
 
 	roster  *roster.Roster
 	adviser *advice.Adviser
