Believe a refusal on a reused connection only if it names the request

Report of other operators: a faulty engine writes an earlier refusal once more on a kept connection; callers are told 'not run' for a request that the engine runs, or it runs at a second engine. A refusal that names another request was rejected here already. One without an ID was believed (status 421, or any with the header that says not run): the stream that the engine was running could have gone to a second engine.

A refusal without an ID now counts only as the first answer on a connection, which is closed after it. TestRepeatedRefusal failed before in the three cases without an ID. The product's clients of engines and plain services require the ID in every answer (TestLateAnswer).

--- a/internal/client/carry/carry.go
+++ b/internal/client/carry/carry.go
@@ -23,10 +23,14 @@
 	Prepare(h http.Header, x *qm.Exchange, o *qm.ExchangeAttempt) error
 	// Check validates the status and headers of a response and returns the endpoint's weights version. It returns an
 	// *quetzalmount.Error with outcome NotRun if the endpoint refused the attempt, and an error of another type if the
-	// response does not belong to this exchange.
-	Check(x *qm.Exchange, o *qm.ExchangeAttempt, resp *http.Response) (qm.VersionID, error)
+	// response does not belong to this exchange. A refusal that doesn't name the request wraps ErrUnnamed. If the connection
+	// is reused, it may be a late response to an earlier request, and proves nothing.
+	Check(x *qm.Exchange, o *qm.ExchangeAttempt, resp *http.Response, reused bool) (qm.VersionID, error)
 }
 
+// ErrUnnamed is wrapped by refusals that don't name the request. Their connections are not reused.
+var ErrUnnamed = errors.New("response doesn't name the request")
+
 // Client sends exchanges to endpoints. It is safe for concurrent use.
 type Client struct {
 	codec Codec
@@ -86,13 +90,13 @@
 }
 
 func (c *Client) handleResponse(x *qm.Exchange, o *qm.ExchangeAttempt, resp *http.Response, trace *pool.Trace) (*qm.Response, error) {
-	version, err := c.codec.Check(x, o, resp)
+	version, err := c.codec.Check(x, o, resp, trace.Reused())
 	if err != nil {
 		var refused *qm.Error
 		if !errors.As(err, &refused) {
 			trace.CloseConns()
 			err = qm.Fail(qm.CodeEndpointFailed, "answer", o.Endpoint.Address, err)
-		} else if _, readErr := pool.ReadAll(resp); readErr != nil {
+		} else if _, readErr := pool.ReadAll(resp); readErr != nil || errors.Is(err, ErrUnnamed) {
 			// The refusal remains valid; only the connection cannot be reused.
 			trace.CloseConns()
 		}
--- a/internal/client/carry/carry_test.go
+++ b/internal/client/carry/carry_test.go
@@ -28,7 +28,7 @@
 	return nil
 }
 
-func (codec) Check(x *qm.Exchange, _ *qm.ExchangeAttempt, resp *http.Response) (qm.VersionID, error) {
+func (codec) Check(x *qm.Exchange, _ *qm.ExchangeAttempt, resp *http.Response, _ bool) (qm.VersionID, error) {
 	switch {
 	case resp.Header.Get("Id") != string(x.Request):
 		return "", errors.New("foreign")
--- a/internal/client/pool/trace.go
+++ b/internal/client/pool/trace.go
@@ -92,6 +92,13 @@
 	return sent
 }
 
+// Reused reports whether the request was sent on a connection that had carried another one before.
+func (t *Trace) Reused() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.uses) > 0 && t.uses[len(t.uses)-1].writesBefore > 0
+}
+
 // CloseConns closes the connections that the request used. Use it if a response belongs to another request, since later
 // responses on that connection may be mismatched too, or if a response cannot be read to its end.
 func (t *Trace) CloseConns() {
