End a resumed stream at anything that is no numbered event

Report of other operators: a stream broke off, the next engine answered with an error, and callers found the error's text in the middle of their stream, which ended as if it were complete. An answer with status 300 or more was never written into a stream here. But one with status 200 was relayed as it came, and a text followed by an empty line passes for an event: callers got it, at times with its whole head, and a clean end.

Each event of a resumed run must have a number now.

--- a/internal/route/exchg/events.go
+++ b/internal/route/exchg/events.go
@@ -63,6 +63,13 @@
 // buffered reports whether further bytes were received already.
 func (e *eventReader) buffered() bool { return e.r.Buffered() > 0 }
 
+// hasNumber reports whether an event ID is a number. All events of a response that can be resumed have one; a text that an endpoint sends
+// in place of the rest of the stream has none.
+func hasNumber(id string) bool {
+	_, err := strconv.ParseInt(id, 10, 64)
+	return err == nil
+}
+
 // alreadyDelivered reports whether the event ID is not above that of the last delivered event. IDs increase within a response.
 func alreadyDelivered(id, last string) bool {
 	a, aerr := strconv.ParseInt(id, 10, 64)
--- a/internal/route/exchg/exchg.go
+++ b/internal/route/exchg/exchg.go
@@ -327,13 +327,13 @@
 	if err != nil {
 		return qm.Fail(qm.CodeEndpointFailed, "read body", p.placement.Endpoint.Address, err)
 	}
+	if t.started {
+		return qm.Fail(qm.CodeEndpointFailed, "resume", p.placement.Endpoint.Address, errors.Errorf("got status %d, want an event stream", resp.Status))
+	}
 	if resp.Status >= 500 && t.x.Route.Kind.IsRepeatable() {
 		t.fallback = &completeResponse{resp, body}
 		return qm.Fail(qm.CodeEndpointAnsweredError, "answer", p.placement.Endpoint.Address, errors.Errorf("server error, status %d", resp.Status))
 	}
-	if t.started {
-		return qm.Fail(qm.CodeEndpointFailed, "resume", p.placement.Endpoint.Address, errors.Errorf("got status %d, want an event stream", resp.Status))
-	}
 	t.firstByte = time.Since(t.x.Received)
 	t.recordFirstByte(p, time.Now())
 	if err := t.writer.WriteComplete(resp, body); err != nil {
@@ -345,6 +345,7 @@
 // relayEvents relays the events of a stream as they arrive, except those that an earlier attempt delivered.
 func (t *task) relayEvents(p *placedAttempt, resp *qm.Response, stall *stallTimer) error {
 	events := newEventReader(resp.Body)
+	resumed := t.started
 	if !t.started {
 		if err := t.writer.BeginStream(resp); err != nil {
 			return errors.WithMessage(errCallerLeft, err.Error())
@@ -367,6 +368,9 @@
 		if err != nil {
 			return qm.Fail(qm.CodeEndpointFailed, "read events", p.placement.Endpoint.Address, err)
 		}
+		if resumed && !hasNumber(id) {
+			return qm.Fail(qm.CodeEndpointFailed, "resume", p.placement.Endpoint.Address, errors.Errorf("got text with event ID %q, want a numbered event", id))
+		}
 		if !gotEvent {
 			gotEvent = true
 			if t.firstByte == 0 {
--- a/internal/route/exchg/exchg_test.go
+++ b/internal/route/exchg/exchg_test.go
@@ -156,6 +156,12 @@
 		{"resumed", qm.Resumable, steps{answerWith(200, event1+"id: 2\nda", broken), answerWith(200, event2+event3, nil)}, 200, event1 + event2 + event3, true, "", "", 2},
 		{"resumed with repeats", qm.Resumable, steps{answerWith(200, event1+event2, broken), answerWith(200, event1+event2+event3, nil)}, 200, event1 + event2 + event3, true, "", "", 2},
 		{"resumed stream refused with a status", qm.Resumable, steps{answerWith(200, event1, broken), answerWith(404, "gone", nil)}, 200, event1, false, qm.CodeEndpointFailed, qm.OutcomeUnknown, 2},
+		{"resumed stream fails with a status", qm.Resumable, steps{answerWith(200, event1, broken), answerWith(500, "HTTP/1.1 500 No\r\n\r\nno\n\n", nil), answerWith(503, "no\n\n", nil)}, 200, event1, false, qm.CodeEndpointFailed, qm.OutcomeUnknown, 2},
+		{"resumed stream is a text", qm.Resumable, steps{answerWith(200, event1, broken), answerWith(200, "error: overloaded\n\n", nil)}, 200, event1, false, qm.CodeEndpointFailed, qm.OutcomeUnknown, 2},
+		{"resumed stream is a response", qm.Resumable, steps{answerWith(200, event1, broken), answerWith(200, "HTTP/1.1 500 No\r\nContent-Length: 3\r\n\r\nno\n\n", nil)}, 200, event1, false, qm.CodeEndpointFailed, qm.OutcomeUnknown, 2},
+		{"resumed stream turns into a text", qm.Resumable, steps{answerWith(200, event1, broken), answerWith(200, event2+"error: overloaded\n\n", nil)}, 200, event1 + event2, false, qm.CodeEndpointFailed, qm.OutcomeUnknown, 2},
+		{"resumed stream has an ID that is no number", qm.Resumable, steps{answerWith(200, event1, broken), answerWith(200, "id: x\ndata: b\n\n", nil)}, 200, event1, false, qm.CodeEndpointFailed, qm.OutcomeUnknown, 2},
+		{"failure before the stream", qm.Resumable, steps{answerWith(500, "no", nil), answerWith(200, event1, broken)}, 200, event1, false, qm.CodeEndpointFailed, qm.OutcomeUnknown, 2},
 		{"stalls, then resumed", qm.Resumable, steps{stallAfter(event1), answerWith(200, event2, nil)}, 200, event1 + event2, true, "", "", 2},
 		{"silence of what may run once", qm.NonIdempotent, steps{stallAfter("")}, 0, "", false, qm.CodeTimeout, qm.OutcomeUnknown, 1},
 	}
