Read what this router has appended to a stream of the log without waiting for a wake-up

A read that began while the record was appended to a slow log could miss it, and ended after up to 10 s.

After an append, the reads of that stream that still wait 250 ms later are repeated at once. TestOwnAppend: 10 s with the plain log, 250 ms now. Not covered: records that other routers append to these streams, which a read that misses them brings with the next record or after 10 s.

--- a/internal/entry/server/components.go
+++ b/internal/entry/server/components.go
@@ -32,6 +32,7 @@
 	"quetzalmount.dev/quetzalmount/internal/state/claim"
 	"quetzalmount.dev/quetzalmount/internal/state/config"
 	"quetzalmount.dev/quetzalmount/internal/state/order"
+	"quetzalmount.dev/quetzalmount/internal/state/watch"
 )
 
 // newHandlerFunc creates the HTTP handler of one listener.
@@ -50,7 +51,9 @@
 	board *board.Board
 	meter *meter.Meter
 	logs  *logsvc.Client
-	list  *lister.Client
+	// watchedLog is logs for streams to which this router appends too.
+	watchedLog *watch.Log
+	list       *lister.Client
 	// ignoredInstances is the number of unreadable instances in the instance list. Only the loop that reads the list uses it.
 	ignoredInstances int
 	engines          *engine.Client
@@ -141,6 +144,7 @@
 	c.onCloseLogError("meter", c.meter.Close)
 	c.logs = logsvc.New(c.settings.LogAddress, opts)
 	c.onCloseLogError("log client", c.logs.Close)
+	c.watchedLog = watch.NewLog(c.logs)
 	c.list = lister.New(c.settings.ListAddress, opts)
 	c.onCloseLogError("list client", c.list.Close)
 	c.engines = engine.New(opts)
--- a/internal/entry/server/state.go
+++ b/internal/entry/server/state.go
@@ -15,7 +15,7 @@
 func (c *components) addState(ctx context.Context) error {
 	var err error
 	c.claims, err = claim.New(ctx, claim.Options{
-		Log: c.logs, Instance: qm.InstanceID(c.settings.Instance), Dispatch: c.invoker.Dispatch, Status: c.invoker.Status,
+		Log: c.watchedLog, Instance: qm.InstanceID(c.settings.Instance), Dispatch: c.invoker.Dispatch, Status: c.invoker.Status,
 		Owner:     func(shard int) bool { return c.owns(fmt.Sprintf("claims-%d", shard)) },
 		Retention: c.settings.LogRetention, Logger: c.log.WithName("claim"), AppendsPerSecond: c.settings.AppendsPerSecond,
 	})
@@ -28,7 +28,7 @@
 		}
 	})
 	c.orders = order.New(ctx, order.Options{
-		Log: c.logs, Board: c.board, Engines: engineCommander{c.engines},
+		Log: c.watchedLog, Board: c.board, Engines: engineCommander{c.engines},
 		Holder: c.settings.Instance + "/" + string(c.incarnation),
 		Owner:  func(id qm.EndpointID) bool { return c.owns("engine-" + string(id)) },
 		Logger: c.log.WithName("order"),
