Check ports while no program is being started

Cause: a child process that is forked between the opening and the closing of the listener that checks a port keeps the listener open until it has executed its program.

--- a/internal/standin/ports/ports.go
+++ b/internal/standin/ports/ports.go
@@ -41,17 +41,33 @@
 		if lock == nil {
 			continue
 		}
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
-		if err != nil {
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		inUse, err := isInUse(address)
+		if inUse || err != nil {
 			_ = lock.Close()
+			if err != nil {
+				return "", err
+			}
 			continue
 		}
 		locks = append(locks, lock)
-		return l.Addr().String(), errors.Wrap(l.Close(), "close listener")
+		return address, nil
 	}
 	return "", errors.Errorf("no free port from %d to %d", firstPort, lastPort)
 }
 
+// isInUse reports whether a program listens on an address.
+func isInUse(address string) (bool, error) {
+	// A child of this process that is forked while the listener is open keeps it open until it has executed its program.
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return true, nil
+	}
+	return false, errors.Wrap(l.Close(), "close listener")
+}
+
 // lockPort locks a port for this process with a lock file. It returns nil if the port is locked already. The lock is released
 // when the file is closed or the process ends.
 func lockPort(port int) (*os.File, error) {
--- a/internal/standin/ports/ports_test.go
+++ b/internal/standin/ports/ports_test.go
@@ -1,10 +1,12 @@
 package ports_test
 
 import (
+	"context"
 	"net"
 	"os"
 	"os/exec"
 	"strings"
+	"sync"
 	"testing"
 
 	"quetzalmount.dev/quetzalmount/internal/standin/ports"
@@ -64,3 +66,35 @@
 		}
 	}
 }
+
+// TestFreeWhileStarting guards against an address that is still in use when Free returns it, because a program that is being started has
+// inherited the listener that Free used to check the port.
+func TestFreeWhileStarting(t *testing.T) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	for range 4 {
+		wg.Go(func() {
+			for ctx.Err() == nil {
+				if err := exec.Command(os.Args[0], "-test.run=^$").Run(); err != nil {
+					t.Error(err)
+					return
+				}
+			}
+		})
+	}
+	for range 1500 {
+		a, err := ports.Free()
+		if err != nil {
+			t.Fatal(err)
+		}
+		l, err := net.Listen("tcp", a)
+		if err != nil {
+			t.Fatalf("the address that Free returned is in use: %v", err)
+		}
+		if err := l.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
