Drop the conviction of a repeated request that other fatal requests explain

TestTwoCulprits failed before: the bystander stayed convicted. TestExplainedInPart keeps a request convicted that met an end which no other one explains.

--- a/internal/limit/fatal/ledger.go
+++ b/internal/limit/fatal/ledger.go
@@ -84,6 +84,8 @@
 	suspects map[qm.Fingerprint]*suspect
 	// recent holds the recent ends of engines, whatever they ran.
 	recent []end
+	// exonerated holds the requests whose convictions were dropped since the last call of TakeExonerated.
+	exonerated []qm.Fingerprint
 }
 
 // NewLedger returns an empty Ledger.
@@ -121,9 +123,43 @@
 	}
 	s.sentence = min(max(minSentence, 2*s.sentence), maxSentence)
 	s.convicted, s.testedAt = at, time.Time{}
+	l.exonerateRepeated(at)
 	return true, true
 }
 
+// exonerateRepeated drops the convictions of fingerprints that were accused by a single request only, if convicted ones that were accused by
+// several requests explain all of its ends: a bystander that is repeated elsewhere may meet the ends that several fatal requests cause.
+func (l *Ledger) exonerateRepeated(now time.Time) {
+	explained := map[EndpointRun]bool{}
+	for _, s := range l.suspects {
+		if l.isConvicted(s, now) && hasSeveralRequests(s.ends) {
+			for _, e := range s.ends {
+				explained[e.run] = true
+			}
+		}
+	}
+	for fp, s := range l.suspects {
+		if !l.isConvicted(s, now) || len(s.ends) == 0 || hasSeveralRequests(s.ends) ||
+			slices.ContainsFunc(s.ends, func(e end) bool { return !explained[e.run] }) {
+			continue
+		}
+		*s = suspect{acquitted: now, lastChange: now}
+		l.exonerated = append(l.exonerated, fp)
+	}
+}
+
+// TakeExonerated returns the requests whose convictions were dropped since the last call.
+func (l *Ledger) TakeExonerated() []qm.Fingerprint {
+	out := l.exonerated
+	l.exonerated = nil
+	return out
+}
+
+// hasSeveralRequests reports whether ends are those of engines that ran different requests.
+func hasSeveralRequests(ends []end) bool {
+	return slices.ContainsFunc(ends, func(e end) bool { return e.request != ends[0].request })
+}
+
 // exonerate drops the accusations of all other requests that ran only on engines whose end a convicted request explains, and that it
 // explains fewer of. With fewer than manyEnds ends, a bystander may be the one that was convicted.
 func (l *Ledger) exonerate(convicted qm.Fingerprint, s *suspect) {
@@ -153,8 +189,7 @@
 	}
 	n := distinctEnds(s.ends)
 	explained := float64(n) / float64(distinctEnds(recent))
-	severalRequests := slices.ContainsFunc(s.ends, func(e end) bool { return e.request != s.ends[0].request })
-	return n >= fewEnds && severalRequests && explained >= fewEndsExplain || n >= manyEnds && explained >= manyEndsExplain
+	return n >= fewEnds && hasSeveralRequests(s.ends) && explained >= fewEndsExplain || n >= manyEnds && explained >= manyEndsExplain
 }
 
 // distinctEnds counts the ends of engines, simultaneous ones once, unless a run began after the engine before had ended.
