Remember which process of an endpoint has said that it leaves

An endpoint that declared in an answer that it leaves was taken for live again if the list dropped it and named it once more, or named it only later; and an old answer that came after a restart made the router take the earlier process for the current one. The declaration now holds for the process that made it, for as long as the router runs, and for no other. Three new cases of TestFailures failed before.

--- a/internal/member/roster/endpoint.go
+++ b/internal/member/roster/endpoint.go
@@ -132,7 +132,7 @@
 	}
 	v := *e.view
 	v.Incarnation, v.Load, v.ReportedAt = inc, qm.Load{}, time.Time{}
-	e.reportedLeaving, e.suspect, e.failures = false, false, 0
+	e.reportedLeaving, e.suspect, e.failures = r.leaving[e.view.ID] == inc, false, 0
 	r.setEndpoint(e, &v)
 	return changed
 }
@@ -192,10 +192,38 @@
 	})
 }
 
-// MarkLeaving records that an endpoint declared in an answer that it is leaving. This holds for the incarnation inc, whatever the instance
-// list says.
+// MarkLeaving records that incarnation inc of an endpoint declared in an answer that it is leaving. This holds whatever the instance list
+// says, also if the endpoint is dropped from the list and listed again. It does not affect another incarnation.
 func (r *Roster) MarkLeaving(id qm.EndpointID, inc qm.Incarnation) {
-	r.update(id, inc, func(e *endpoint) { r.setLeaving(e) })
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.endpoints[id]
+	if e != nil && e.view.Incarnation == "" {
+		r.setIncarnation(e, inc)
+	}
+	r.rememberLeaving(id, inc)
+	if e != nil && e.view.Incarnation == inc {
+		r.setLeaving(e)
+		r.publishEndpoint(e)
+	}
+}
+
+// maxLeavingRemembered limits the endpoints that are remembered as leaving. A system of the target size replaces a few hundred a day.
+const maxLeavingRemembered = 4096
+
+// rememberLeaving records which incarnation of an endpoint is leaving. The caller holds r.mu.
+func (r *Roster) rememberLeaving(id qm.EndpointID, inc qm.Incarnation) {
+	if inc == "" {
+		return
+	}
+	if _, ok := r.leaving[id]; !ok && len(r.leaving) >= maxLeavingRemembered {
+		for other := range r.leaving {
+			if r.endpoints[other] == nil {
+				delete(r.leaving, other)
+			}
+		}
+	}
+	r.leaving[id] = inc
 }
 
 // SetLoads sets the estimated load of all endpoints; endpoints missing from loads have none.
--- a/internal/member/roster/hint.go
+++ b/internal/member/roster/hint.go
@@ -117,6 +117,7 @@
 			r.setIncarnation(e, h.Incarnation)
 		}
 		e.reportedLeaving = true
+		r.rememberLeaving(h.Endpoint, e.view.Incarnation)
 		r.publishEndpoint(e)
 		return true
 	case HintLoading:
--- a/internal/member/roster/roster.go
+++ b/internal/member/roster/roster.go
@@ -32,6 +32,8 @@
 	members   map[qm.InstanceID]*member
 	endpoints map[qm.EndpointID]*endpoint
 	hints     []timedHint
+	// leaving holds the incarnations that declared that they are leaving.
+	leaving map[qm.EndpointID]qm.Incarnation
 	// membersChanged and endpointsChanged are set while the board lacks a change. assignmentStale is set when members or endpoints were
 	// added, removed or changed their state, so that the engines to poll must be assigned again.
 	membersChanged, endpointsChanged, assignmentStale bool
@@ -53,6 +55,7 @@
 		opts: o, cancel: cancel,
 		members:   map[qm.InstanceID]*member{},
 		endpoints: map[qm.EndpointID]*endpoint{},
+		leaving:   map[qm.EndpointID]qm.Incarnation{},
 	}
 	slots := make(chan struct{}, maxConcurrentProbes)
 	r.background = func(f func(context.Context)) {
--- a/internal/member/roster/roster_test.go
+++ b/internal/member/roster/roster_test.go
@@ -125,6 +125,27 @@
 		}, all(live), []qm.Incarnation{"i2"}},
 		{"leaving although the list lags", func(f *fixture) { f.load.Leaving = true; f.wait(5 * time.Second) }, all(leaving), nil},
 		{"said leaving in an answer", func(f *fixture) { f.roster.MarkLeaving("e1", "i1"); f.wait(5 * time.Second) }, all(leaving), nil},
+		{"said leaving, dropped from the list and listed again", func(f *fixture) {
+			f.roster.MarkLeaving("e1", "i1")
+			listed := f.endpoints
+			f.endpoints = listed[1:]
+			f.wait(3 * time.Second)
+			f.endpoints = listed
+			f.wait(3 * time.Second)
+		}, all(leaving), nil},
+		{"said leaving in an old answer, after the restart", func(f *fixture) {
+			f.load.Incarnation = "i2"
+			f.wait(2 * time.Second)
+			f.roster.MarkLeaving("e1", "i1")
+		}, all(live), []qm.Incarnation{"i2"}},
+		{"said leaving before it was listed", func(f *fixture) {
+			listed := f.endpoints
+			f.endpoints = listed[1:]
+			f.wait(3 * time.Second)
+			f.roster.MarkLeaving("e1", "i1")
+			f.endpoints = listed
+			f.wait(3 * time.Second)
+		}, all(leaving), nil},
 		{"left and restarted", func(f *fixture) {
 			f.roster.MarkLeaving("e1", "i1")
 			f.roster.MarkSucceeded("e1", "i2")
