Drop convictions whose ends other convicted requests explain

A bystander met one end of the first prompt and two of the second, some of them by a request that its caller had repeated, and was convicted in the same 50 ms as the second prompt. Convicted requests now explain ends in order: those of most different requests first, then those convicted first. One that is left with no end of its own is acquitted. TestRepeatedBySeveral failed before.

--- a/internal/limit/fatal/ledger.go
+++ b/internal/limit/fatal/ledger.go
@@ -11,6 +11,7 @@
 package fatal
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -123,28 +124,35 @@
 	}
 	s.sentence = min(max(minSentence, 2*s.sentence), maxSentence)
 	s.convicted, s.testedAt = at, time.Time{}
-	l.exonerateRepeated(at)
-	return true, true
+	l.exonerateExplained(at)
+	return true, l.isConvicted(s, at)
 }
 
-// exonerateRepeated drops the convictions of fingerprints that were accused by a single request only, if convicted ones that were accused by
-// several requests explain all of its ends: a bystander that is repeated elsewhere may meet the ends that several fatal requests cause.
-func (l *Ledger) exonerateRepeated(now time.Time) {
-	explained := map[EndpointRun]bool{}
-	for _, s := range l.suspects {
-		if l.isConvicted(s, now) && hasSeveralRequests(s.ends) {
-			for _, e := range s.ends {
-				explained[e.run] = true
-			}
+// exonerateExplained drops the convictions whose ends other convicted requests explain. Those that several requests of callers were accused
+// of explain first, since a bystander is mostly a single request that is repeated elsewhere and meets the next end there, then those that were
+// convicted first.
+func (l *Ledger) exonerateExplained(now time.Time) {
+	var convicted []qm.Fingerprint
+	for fp, s := range l.suspects {
+		if l.isConvicted(s, now) && len(s.ends) > 0 {
+			convicted = append(convicted, fp)
 		}
 	}
-	for fp, s := range l.suspects {
-		if !l.isConvicted(s, now) || len(s.ends) == 0 || hasSeveralRequests(s.ends) ||
-			slices.ContainsFunc(s.ends, func(e end) bool { return !explained[e.run] }) {
+	slices.SortFunc(convicted, func(a, b qm.Fingerprint) int {
+		x, y := l.suspects[a], l.suspects[b]
+		return cmp.Or(countRequests(y.ends)-countRequests(x.ends), x.convicted.Compare(y.convicted), cmp.Compare(a, b))
+	})
+	explained := map[EndpointRun]bool{}
+	for _, fp := range convicted {
+		s := l.suspects[fp]
+		if !slices.ContainsFunc(s.ends, func(e end) bool { return !explained[e.run] }) {
+			*s = suspect{acquitted: now, lastChange: now}
+			l.exonerated = append(l.exonerated, fp)
 			continue
 		}
-		*s = suspect{acquitted: now, lastChange: now}
-		l.exonerated = append(l.exonerated, fp)
+		for _, e := range s.ends {
+			explained[e.run] = true
+		}
 	}
 }
 
@@ -155,9 +163,13 @@
 	return out
 }
 
-// hasSeveralRequests reports whether ends are those of engines that ran different requests.
-func hasSeveralRequests(ends []end) bool {
-	return slices.ContainsFunc(ends, func(e end) bool { return e.request != ends[0].request })
+// countRequests returns the number of different requests that engines ran when they ended.
+func countRequests(ends []end) int {
+	requests := map[qm.RequestID]bool{}
+	for _, e := range ends {
+		requests[e.request] = true
+	}
+	return len(requests)
 }
 
 // exonerate drops the accusations of all other requests that ran only on engines whose end a convicted request explains, and that it
@@ -189,7 +201,7 @@
 	}
 	n := distinctEnds(s.ends)
 	explained := float64(n) / float64(distinctEnds(recent))
-	return n >= fewEnds && hasSeveralRequests(s.ends) && explained >= fewEndsExplain || n >= manyEnds && explained >= manyEndsExplain
+	return n >= fewEnds && countRequests(s.ends) > 1 && explained >= fewEndsExplain || n >= manyEnds && explained >= manyEndsExplain
 }
 
 // distinctEnds counts the ends of engines, simultaneous ones once, unless a run began after the engine before had ended.
--- a/internal/limit/fatal/ledger_test.go
+++ b/internal/limit/fatal/ledger_test.go
@@ -88,6 +88,28 @@
 	}
 }
 
+// TestRepeatedBySeveral guards against refusing a bystander of two fatal requests in turn that its caller has repeated too. The last end
+// is reported for the bystander first.
+func TestRepeatedBySeveral(t *testing.T) {
+	const other qm.Fingerprint = 3
+	l, repeated := fatal.NewLedger(), newRequest()
+	for i, end := range []struct {
+		culprit   qm.Fingerprint
+		bystander qm.RequestID
+	}{{culprit, ""}, {culprit, repeated}, {other, repeated}, {other, ""}, {other, newRequest()}} {
+		now := at(time.Duration(i) * 500 * time.Millisecond)
+		if end.bystander != "" {
+			accuse(l, bystander, end.bystander, run(i), now)
+		}
+		accuse(l, end.culprit, newRequest(), run(i), now)
+	}
+	for fp, want := range map[qm.Fingerprint]fatal.Verdict{culprit: fatal.Convicted, other: fatal.Convicted, bystander: fatal.Innocent} {
+		if v := l.Verdict(fp, at(2*time.Second)); v != want {
+			t.Errorf("verdict on request %d is %v, want %v", fp, v, want)
+		}
+	}
+}
+
 // TestExplainedInPart guards against acquitting a fatal request that ended an engine which no other fatal request explains.
 func TestExplainedInPart(t *testing.T) {
 	l, repeated := fatal.NewLedger(), newRequest()
