Send nothing to endpoints that have asked for a pause

The exchange leaves such endpoints out, so that no repeat is spent on them. After a pause, one request at a time returns, then twice as many with each that the endpoint takes.

--- a/internal/route/exchg/exchg.go
+++ b/internal/route/exchg/exchg.go
@@ -23,6 +23,7 @@
 	"quetzalmount.dev/quetzalmount/internal/infra/logs"
 	"quetzalmount.dev/quetzalmount/internal/infra/meter"
 	"quetzalmount.dev/quetzalmount/internal/limit/fatal"
+	"quetzalmount.dev/quetzalmount/internal/limit/pause"
 	"quetzalmount.dev/quetzalmount/internal/limit/shed"
 	"quetzalmount.dev/quetzalmount/internal/route/retry"
 	"quetzalmount.dev/quetzalmount/internal/state/board"
@@ -46,6 +47,8 @@
 	// Engines selects model engines, Services processes of plain services.
 	Engines, Services qm.Placer
 	Health            qm.Health
+	// Pauses holds the endpoints that have asked for no requests; nil for none.
+	Pauses *pause.Table
 	// Fatal recognises requests that end engines; nil for none.
 	Fatal *fatal.Tracker
 	// RetryBudget bounds the retries at each group of endpoints over all routers.
@@ -185,7 +188,7 @@
 // attempt selects an endpoint, sends the exchange to it and relays its response.
 func (t *task) attempt(ctx context.Context) error {
 	began := time.Now()
-	p, err := t.placeAttempt()
+	p, err := t.placeAfterPauses(ctx)
 	t.runner.deps.Meter.Step(meter.StepPlace, time.Since(began))
 	if err != nil {
 		return err
@@ -193,6 +196,7 @@
 	began = time.Now()
 	err = t.send(ctx, p)
 	p.finished(time.Now())
+	p.ended(err == nil || qm.AsError(err).Outcome != qm.OutcomeNotRun)
 	t.counts.add(err)
 	record := attemptRecord{
 		Endpoint: p.placement.Endpoint.ID, Address: p.placement.Endpoint.Address, Reason: p.placement.Reason,
@@ -400,7 +404,7 @@
 	}
 	now := time.Now()
 	rnd := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	candidates := t.runner.usable(t.x, t.exclude)
+	candidates, pausedUntil := t.runner.usable(t.x, t.exclude, now)
 	placer := t.runner.deps.Services
 	q := &qm.PlaceRequest{
 		Team: t.x.Team, Model: t.x.Model, PromptTokens: t.x.PromptTokens, Exclude: t.exclude, NonResumable: !t.x.Route.Kind.IsRepeatable(),
@@ -417,6 +421,9 @@
 	} else {
 		d, ok = placer.Place(q, candidates, now, rnd)
 	}
+	if !ok && !pausedUntil.IsZero() {
+		return nil, &pausedError{until: pausedUntil}
+	}
 	if !ok {
 		return nil, qm.Refuse(qm.CodeNoEndpoint, "place", "no endpoint of group %s can take the request now", t.x.Group).
 			WithRetryAfter(noEndpointRetryAfter)
@@ -437,6 +444,7 @@
 	}
 	placer.Dispatched(q, d, now)
 	return &placedAttempt{
+		ended:  t.runner.pauseSent(d.Endpoint, now),
 		placer: placer, placeRequest: q, placement: d, exchangeAttempt: attempt, healthAttempt: t.runner.deps.Health.Begin(d.Endpoint.ID),
 	}, nil
 }
@@ -452,6 +460,8 @@
 	placement       qm.Placement
 	exchangeAttempt qm.ExchangeAttempt
 	healthAttempt   qm.Attempt
+	// ended records in Deps.Pauses whether the endpoint took the request.
+	ended func(taken bool)
 	// sentAt is when the exchange was sent, headAt when the head of the response arrived or sending failed.
 	sentAt, headAt time.Time
 }
@@ -467,12 +477,28 @@
 // finished reports to placement that the attempt has ended.
 func (p *placedAttempt) finished(now time.Time) { p.placer.Finished(p.placeRequest, p.placement, now) }
 
-// usable returns the endpoints of the exchange's group that may take it, without the excluded ones.
-func (r *Runner) usable(x *qm.Exchange, exclude []qm.EndpointID) []*qm.Endpoint {
+// usable returns the endpoints of the exchange's group that may take it, without the excluded ones and those that want no requests now.
+// pausedUntil is the earliest time at which one of the latter may take it, zero if there is none.
+func (r *Runner) usable(x *qm.Exchange, exclude []qm.EndpointID, now time.Time) (usable []*qm.Endpoint, pausedUntil time.Time) {
 	all, _ := r.deps.Board.Endpoints.Load()
-	return qm.UsableEndpoints(all, r.deps.Health, func(e *qm.Endpoint) bool {
-		return e.Group == x.Group && !slices.Contains(exclude, e.ID)
+	usable = qm.UsableEndpoints(all, r.deps.Health, func(e *qm.Endpoint) bool {
+		if e.Group != x.Group || slices.Contains(exclude, e.ID) {
+			return false
+		}
+		if r.deps.Pauses == nil || r.deps.Pauses.MayTake(e.ID, e.Incarnation, now) {
+			return true
+		}
+		// An endpoint whose pause has ended takes more requests when it has answered those that it has.
+		until := r.deps.Pauses.Until(e.ID, e.Incarnation, now)
+		if until.IsZero() {
+			until = now.Add(stepWait)
+		}
+		if pausedUntil.IsZero() || until.Before(pausedUntil) {
+			pausedUntil = until
+		}
+		return false
 	})
+	return usable, pausedUntil
 }
 
 func millis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
