Believe what engines say of themselves in their answers

New rules of the users' pages: an engine that leaves says so in all its answers, and one that refuses with status 503 may ask for a pause. Neither header was read: requests reached leaving engines until their entry said so, and engines that wanted nothing were asked again at once.

--- a/internal/client/carry/carry.go
+++ b/internal/client/carry/carry.go
@@ -10,6 +10,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -26,22 +27,41 @@
 	// response does not belong to this exchange. A refusal that doesn't name the request wraps ErrUnnamed. If the connection
 	// is reused, it may be a late response to an earlier request, and proves nothing.
 	Check(x *qm.Exchange, o *qm.ExchangeAttempt, resp *http.Response, reused bool) (qm.VersionID, error)
+	// Notice returns what the endpoint says of itself in a response to x, the zero Notice if the response is to another request.
+	Notice(x *qm.Exchange, resp *http.Response, reused bool) Notice
+}
+
+// Notice is what an endpoint says of itself in a response, whatever its status.
+type Notice struct {
+	// Leaving is set if the endpoint is about to end.
+	Leaving bool
+	// Pause is the time for which the endpoint wants no requests from this router, 0 if it takes them.
+	Pause time.Duration
+	// Ignored describes values that are invalid, for the log. It is empty if there are none.
+	Ignored string
 }
 
 // ErrUnnamed is wrapped by refusals that don't name the request. Their connections are not reused.
 var ErrUnnamed = errors.New("response doesn't name the request")
 
+// NoticeFunc receives the notices of endpoints. The endpoint is the one that the exchange was sent to, in the incarnation known then.
+type NoticeFunc func(*qm.Endpoint, Notice)
+
 // Client sends exchanges to endpoints. It is safe for concurrent use.
 type Client struct {
-	codec Codec
-	pool  *pool.Pool
+	codec    Codec
+	onNotice NoticeFunc
+	pool     *pool.Pool
 }
 
 var _ qm.ExchangeClient = (*Client)(nil)
 
-// New returns a Client with its own connection pool.
-func New(codec Codec, opts pool.Options) *Client {
-	return &Client{codec: codec, pool: pool.New(opts)}
+// New returns a Client with its own connection pool. onNotice is called with each notice before Send returns; nil ignores them.
+func New(codec Codec, onNotice NoticeFunc, opts pool.Options) *Client {
+	if onNotice == nil {
+		onNotice = func(*qm.Endpoint, Notice) {}
+	}
+	return &Client{codec: codec, onNotice: onNotice, pool: pool.New(opts)}
 }
 
 // Close closes idle connections.
@@ -90,6 +110,9 @@
 }
 
 func (c *Client) handleResponse(x *qm.Exchange, o *qm.ExchangeAttempt, resp *http.Response, trace *pool.Trace) (*qm.Response, error) {
+	if n := c.codec.Notice(x, resp, trace.Reused()); n != (Notice{}) {
+		c.onNotice(o.Endpoint, n)
+	}
 	version, err := c.codec.Check(x, o, resp, trace.Reused())
 	if err != nil {
 		var refused *qm.Error
--- a/internal/client/carry/carry_test.go
+++ b/internal/client/carry/carry_test.go
@@ -38,6 +38,8 @@
 	return "", nil
 }
 
+func (codec) Notice(*qm.Exchange, *http.Response, bool) carry.Notice { return carry.Notice{} }
+
 func send(t *testing.T, c *carry.Client, address string, kind qm.ExchangeKind, id qm.RequestID, body string) (string, error) {
 	t.Helper()
 	target, err := url.Parse("/a%2Fb/c?d=e%20f&g")
@@ -66,7 +68,7 @@
 		_, _ = fmt.Fprintf(w, "%s %s %s %v %q %s", r.Method, r.RequestURI, r.Host, r.Header["X"], r.UserAgent(), body)
 	}))
 	defer s.Close()
-	c := carry.New(codec{}, pool.Options{})
+	c := carry.New(codec{}, nil, pool.Options{})
 	defer c.Close()
 	got, err := send(t, c, s.Listener.Addr().String(), qm.Streaming, "r1", "the body")
 	want := `POST /a%2Fb/c?d=e%20f&g caller.example [1 2] "" the body`
@@ -101,7 +103,7 @@
 			if !tt.unreachable {
 				address = newEndpoint(t, tt.answer)
 			}
-			c := carry.New(codec{}, pool.Options{})
+			c := carry.New(codec{}, nil, pool.Options{})
 			defer c.Close()
 			_, err := send(t, c, address, qm.NonIdempotent, "r1", "body")
 			var e *qm.Error
@@ -117,7 +119,7 @@
 func TestLateAnswer(t *testing.T) {
 	responseFormat := "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 2\r\n\r\n%s"
 	address := newEndpoint(t, fmt.Sprintf(responseFormat, "r1", "r1")+fmt.Sprintf(responseFormat, "r1", "r1"))
-	c := carry.New(codec{}, pool.Options{})
+	c := carry.New(codec{}, nil, pool.Options{})
 	defer c.Close()
 	for _, id := range []qm.RequestID{"r1", "r2", "r3"} {
 		text, err := send(t, c, address, qm.Idempotent, id, "body")
