Revert the dropping of convictions that other requests explain

Convictions and acquittals answered each other between the routers, because a router that drops a conviction tells the others, which hold evidence that it lacks.

What routers agree on must be decided from evidence that all of them have, so an acquittal by inference must not be announced.

--- a/internal/limit/fatal/ledger.go
+++ b/internal/limit/fatal/ledger.go
@@ -11,7 +11,6 @@
 package fatal
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -85,8 +84,6 @@
 	suspects map[qm.Fingerprint]*suspect
 	// recent holds the recent ends of engines, whatever they ran.
 	recent []end
-	// exonerated holds the requests whose convictions were dropped since the last call of TakeExonerated.
-	exonerated []qm.Fingerprint
 }
 
 // NewLedger returns an empty Ledger.
@@ -124,52 +121,7 @@
 	}
 	s.sentence = min(max(minSentence, 2*s.sentence), maxSentence)
 	s.convicted, s.testedAt = at, time.Time{}
-	l.exonerateExplained(at)
-	return true, l.isConvicted(s, at)
-}
-
-// exonerateExplained drops the convictions whose ends other convicted requests explain. Those that several requests of callers were accused
-// of explain first, since a bystander is mostly a single request that is repeated elsewhere and meets the next end there, then those that were
-// convicted first.
-func (l *Ledger) exonerateExplained(now time.Time) {
-	var convicted []qm.Fingerprint
-	for fp, s := range l.suspects {
-		if l.isConvicted(s, now) && len(s.ends) > 0 {
-			convicted = append(convicted, fp)
-		}
-	}
-	slices.SortFunc(convicted, func(a, b qm.Fingerprint) int {
-		x, y := l.suspects[a], l.suspects[b]
-		return cmp.Or(countRequests(y.ends)-countRequests(x.ends), x.convicted.Compare(y.convicted), cmp.Compare(a, b))
-	})
-	explained := map[EndpointRun]bool{}
-	for _, fp := range convicted {
-		s := l.suspects[fp]
-		if !slices.ContainsFunc(s.ends, func(e end) bool { return !explained[e.run] }) {
-			*s = suspect{acquitted: now, lastChange: now}
-			l.exonerated = append(l.exonerated, fp)
-			continue
-		}
-		for _, e := range s.ends {
-			explained[e.run] = true
-		}
-	}
-}
-
-// TakeExonerated returns the requests whose convictions were dropped since the last call.
-func (l *Ledger) TakeExonerated() []qm.Fingerprint {
-	out := l.exonerated
-	l.exonerated = nil
-	return out
-}
-
-// countRequests returns the number of different requests that engines ran when they ended.
-func countRequests(ends []end) int {
-	requests := map[qm.RequestID]bool{}
-	for _, e := range ends {
-		requests[e.request] = true
-	}
-	return len(requests)
+	return true, true
 }
 
 // exonerate drops the accusations of all other requests that ran only on engines whose end a convicted request explains, and that it
@@ -201,7 +153,8 @@
 	}
 	n := distinctEnds(s.ends)
 	explained := float64(n) / float64(distinctEnds(recent))
-	return n >= fewEnds && countRequests(s.ends) > 1 && explained >= fewEndsExplain || n >= manyEnds && explained >= manyEndsExplain
+	severalRequests := slices.ContainsFunc(s.ends, func(e end) bool { return e.request != s.ends[0].request })
+	return n >= fewEnds && severalRequests && explained >= fewEndsExplain || n >= manyEnds && explained >= manyEndsExplain
 }
 
 // distinctEnds counts the ends of engines, simultaneous ones once, unless a run began after the engine before had ended.
--- a/internal/limit/fatal/tracker.go
+++ b/internal/limit/fatal/tracker.go
@@ -23,7 +23,7 @@
 const (
 	// ReportEnded means that an engine ended while it ran the request.
 	ReportEnded ReportKind = iota + 1
-	// ReportCompleted means that an accused request ran to its end, or that others turned out to have ended its engines.
+	// ReportCompleted means that an accused request ran to its end.
 	ReportCompleted
 	// ReportConvicted means that the request is refused for the time Report.For.
 	ReportConvicted
@@ -278,10 +278,6 @@
 	if isNew {
 		t.queue(r, at)
 	}
-	for _, fp := range t.ledger.TakeExonerated() {
-		t.queue(Report{Kind: ReportCompleted, Fingerprint: fp}, now)
-		t.opts.Log.Info("conviction dropped, other requests explain it", logs.Fingerprint, formatFingerprint(fp))
-	}
 	if convicted {
 		stopped := t.running[r.Fingerprint]
 		t.opts.Log.Info("request convicted", logs.Fingerprint, formatFingerprint(r.Fingerprint), logs.Endpoint, r.Run.Endpoint,
