End reads of the log that waited through an outage when it answers again

As on the platform, the first answer after an outage now ends them. TestReadAfterSilentOutage failed before: the read still waited 5 s after the log had answered.

--- a/internal/client/logsvc/logsvc.go
+++ b/internal/client/logsvc/logsvc.go
@@ -15,13 +15,15 @@
 
 	qm "quetzalmount.dev/quetzalmount"
 	"quetzalmount.dev/quetzalmount/internal/client/pool"
+	"quetzalmount.dev/quetzalmount/internal/client/reach"
 )
 
 // Client reads and appends records of one log service.
 type Client struct {
-	addr string
-	pool *pool.Pool
-	http *http.Client
+	addr  string
+	pool  *pool.Pool
+	http  *http.Client
+	reach *reach.Tracker
 }
 
 var _ qm.Log = (*Client)(nil)
@@ -29,7 +31,7 @@
 // New returns a client of the log service at addr (host:port).
 func New(addr string, opts pool.Options) *Client {
 	p := pool.New(opts)
-	return &Client{addr: addr, pool: p, http: &http.Client{Transport: p}}
+	return &Client{addr: addr, pool: p, http: &http.Client{Transport: p}, reach: reach.New()}
 }
 
 type (
@@ -61,7 +63,8 @@
 	}
 	req.ContentLength = int64(len(body))
 	req.Header.Set("Content-Type", "application/json")
-	resp, err := c.http.Do(req)
+	resp, end, err := c.do(req, false)
+	defer end()
 	if err != nil {
 		if !trace.Sent() {
 			return 0, c.notAppended(stream, err.Error())
@@ -100,7 +103,8 @@
 	if err != nil {
 		return qm.Batch{}, errors.Wrapf(err, "read %s at %s", stream, c.addr)
 	}
-	resp, err := c.http.Do(req)
+	resp, end, err := c.do(req, true)
+	defer end()
 	if err != nil {
 		return qm.Batch{}, errors.Wrapf(err, "read %s at %s", stream, c.addr)
 	}
@@ -115,6 +119,26 @@
 	return b, errors.Wrapf(err, "read %s at %s", stream, c.addr)
 }
 
+// do sends a request. The caller reads the response and then calls end. A repeatable request that waits while another one finds the log
+// reachable again ends with reach.ErrStale.
+func (c *Client) do(req *http.Request, repeatable bool) (resp *http.Response, end func(), err error) {
+	ctx, call := c.reach.Begin(req.Context(), repeatable)
+	resp, err = c.http.Do(req.WithContext(ctx))
+	switch cause := context.Cause(ctx); {
+	case err == nil && resp.StatusCode < http.StatusInternalServerError && resp.StatusCode != http.StatusTooManyRequests:
+		call.Answered()
+	case err == nil:
+		call.Failed()
+	case errors.Is(cause, reach.ErrStale):
+		err = cause
+	case !errors.Is(cause, context.Canceled):
+		call.Failed()
+		// Idle connections may have gone silent with this one.
+		c.pool.Close()
+	}
+	return resp, call.Close, err
+}
+
 // Close closes idle connections.
 func (c *Client) Close() error {
 	c.pool.Close()
--- a/internal/client/logsvc/logsvc_test.go
+++ b/internal/client/logsvc/logsvc_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -109,3 +111,90 @@
 		}
 	})
 }
+
+// TestReadAfterSilentOutage guards against a read that waits on a connection that went silent in an outage, although the log answers other calls
+// again: an edit accepted after the outage would be in force only when that read times out.
+func TestReadAfterSilentOutage(t *testing.T) {
+	s := logsrv.New(logsrv.Options{})
+	var silent atomic.Bool
+	silenced := make(chan struct{})
+	h := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if silent.Load() {
+			<-r.Context().Done()
+			return
+		}
+		if r.FormValue("wait") != "0" {
+			<-silenced // nothing is answered on this connection any more
+			<-r.Context().Done()
+			return
+		}
+		logsrv.Handler(s).ServeHTTP(w, r)
+	}))
+	defer h.Close()
+	defer h.CloseClientConnections() // Close waits for calls that were left open
+	c := New(strings.TrimPrefix(h.URL, "http://"), pool.Options{})
+	defer func() { _ = c.Close() }()
+	ended := make(chan error, 1)
+	go func() {
+		_, err := c.Read(t.Context(), "config", 1, 10, time.Minute)
+		ended <- err
+	}()
+	time.Sleep(50 * time.Millisecond)
+	silent.Store(true)
+	close(silenced)
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	if b, err := c.Read(ctx, "orders", 1, 10, 0); err == nil {
+		t.Fatalf("Read() in the outage = %+v", b)
+	}
+	silent.Store(false)
+	if _, err := c.Read(t.Context(), "orders", 1, 10, 0); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case err := <-ended:
+		if err == nil {
+			t.Error("the read that waited has no error")
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("the read still waits after the log has answered another call")
+	}
+}
+
+// TestAppendAfterOutage guards against ending an append because the log answers another call: it may have taken effect.
+func TestAppendAfterOutage(t *testing.T) {
+	s := logsrv.New(logsrv.Options{})
+	var silent atomic.Bool
+	release := make(chan struct{})
+	h := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.Method == http.MethodPost:
+			<-release
+		case silent.Load():
+			<-r.Context().Done()
+			return
+		}
+		logsrv.Handler(s).ServeHTTP(w, r)
+	}))
+	defer h.Close()
+	defer h.CloseClientConnections() // Close waits for calls that were left open
+	c := New(strings.TrimPrefix(h.URL, "http://"), pool.Options{})
+	defer func() { _ = c.Close() }()
+	ended := make(chan error, 1)
+	go func() {
+		_, err := c.Append(t.Context(), "config", [][]byte{[]byte("x")})
+		ended <- err
+	}()
+	silent.Store(true)
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	_, _ = c.Read(ctx, "orders", 1, 10, 0)
+	silent.Store(false)
+	if _, err := c.Read(t.Context(), "orders", 1, 10, 0); err != nil {
+		t.Fatal(err)
+	}
+	close(release)
+	if err := <-ended; err != nil {
+		t.Errorf("Append() = %v", err)
+	}
+}
