Send nothing to engines of the product that have asked for a pause

The product's engine client read Retry-After of a refusal into the error, where it told the placement nothing: the next requests went to the same engine. The relay now leaves such engines out until their pause ends, and tells callers when the first pause ends if all have asked. TestPauses of package relay: one request in 20 reaches the engine; it cannot run on the code before.

--- a/internal/entry/server/components.go
+++ b/internal/entry/server/components.go
@@ -18,6 +18,7 @@
 	"quetzalmount.dev/quetzalmount/internal/infra/conf"
 	"quetzalmount.dev/quetzalmount/internal/infra/meter"
 	"quetzalmount.dev/quetzalmount/internal/limit/gate"
+	"quetzalmount.dev/quetzalmount/internal/limit/pause"
 	"quetzalmount.dev/quetzalmount/internal/limit/share"
 	"quetzalmount.dev/quetzalmount/internal/limit/slot"
 	"quetzalmount.dev/quetzalmount/internal/member/advice"
@@ -232,7 +233,7 @@
 	c.onCloseLogError("streams", c.streams.Close)
 	c.relay = relay.New(relay.Deps{
 		Board: c.board, Admit: c.gate.Admit, AcquireSlot: c.slots.Acquire, RetryBudget: c.budget, Placer: c.placer, Streamer: c.streams, Health: c.health,
-		Meter: c.meter,
+		Meter: c.meter, Pauses: pause.New(),
 	})
 	c.invoker = invoke.New(invoke.Deps{Board: c.board, Client: c.services, Health: c.health, TakeRetry: c.budget.TakeRetry})
 }
--- a/internal/route/relay/engines.go
+++ b/internal/route/relay/engines.go
@@ -3,16 +3,29 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	qm "quetzalmount.dev/quetzalmount"
 )
 
-// usable returns the engines of a group that may take a new request, without the excluded ones.
-func (r *Relay) usable(group qm.GroupID, exclude []qm.EndpointID) []*qm.Endpoint {
+// usable returns the engines of a group that may take a new request, without the excluded ones and those that want none now. pausedUntil is the
+// earliest end of a pause among the latter, zero if there is none.
+func (r *Relay) usable(group qm.GroupID, exclude []qm.EndpointID, now time.Time) (usable []*qm.Endpoint, pausedUntil time.Time) {
 	all, _ := r.deps.Board.Endpoints.Load()
-	return qm.UsableEndpoints(all, r.deps.Health, func(e *qm.Endpoint) bool {
-		return e.Kind == qm.KindEngine && e.Group == group && !slices.Contains(exclude, e.ID)
+	usable = qm.UsableEndpoints(all, r.deps.Health, func(e *qm.Endpoint) bool {
+		if e.Kind != qm.KindEngine || e.Group != group || slices.Contains(exclude, e.ID) {
+			return false
+		}
+		if r.deps.Pauses.MayTake(e.ID, e.Incarnation, now) {
+			return true
+		}
+		until := r.deps.Pauses.Until(e.ID, e.Incarnation, now)
+		if pausedUntil.IsZero() || until.Before(pausedUntil) {
+			pausedUntil = until
+		}
+		return false
 	})
+	return usable, pausedUntil
 }
 
 // versionOf returns the weights version of an engine. An engine whose version is not known yet is assumed to have the desired one; it
--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -11,8 +11,11 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/pkg/errors"
+
 	qm "quetzalmount.dev/quetzalmount"
 	"quetzalmount.dev/quetzalmount/internal/infra/meter"
+	"quetzalmount.dev/quetzalmount/internal/limit/pause"
 	"quetzalmount.dev/quetzalmount/internal/route/prefix"
 	"quetzalmount.dev/quetzalmount/internal/route/stream"
 	"quetzalmount.dev/quetzalmount/internal/state/board"
@@ -21,6 +24,9 @@
 // NoEngineRetryAfter is the Retry-After time when no engine can take a request.
 const NoEngineRetryAfter = time.Second
 
+// maxPausedRetryAfter bounds the Retry-After time, without its random addition, while all engines have asked for a pause.
+const maxPausedRetryAfter = time.Minute
+
 // Admit takes the cost of a request from the limits of its team, or refuses the request.
 type Admit func(ctx context.Context, team *qm.Team, cost qm.Cost) (qm.Grant, error)
 
@@ -37,6 +43,8 @@
 	Health      qm.Health
 	RetryBudget qm.RetryBudget
 	Meter       *meter.Meter
+	// Pauses holds the engines that have asked for no requests.
+	Pauses *pause.Table
 }
 
 // Relay runs completions. It is safe for concurrent use.
@@ -81,8 +89,11 @@
 			return deliver(chunk)
 		},
 		FirstToken: j.firstToken,
-		Failed:     func(_ qm.Placement, err error) { j.attempt.Failed(err) },
-		Finished:   func(d qm.Placement) { r.deps.Placer.Finished(&j.placeRequest, d, time.Now()) },
+		Failed:     j.failed,
+		Finished: func(d qm.Placement) {
+			r.deps.Placer.Finished(&j.placeRequest, d, time.Now())
+			j.ended(j.tookRequest)
+		},
 	})
 	series.Resumed(sum.Resumes)
 	series.Continued(sum.Failovers)
@@ -106,13 +117,16 @@
 	delivered          bool
 	firstTokenRecorded bool
 	attempt            qm.Attempt
+	// ended records in Deps.Pauses the end of the attempt, and tookRequest, whether the engine took the request.
+	ended       func(taken bool)
+	tookRequest bool
 }
 
 // place selects an engine that is not excluded and, before the first chunk, the weights version.
 func (j *job) place(_ context.Context, exclude []qm.EndpointID) (qm.Placement, error) {
 	now := time.Now()
 	rnd := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	engines := j.relay.usable(j.completion.Model.Group, exclude)
+	engines, pausedUntil := j.relay.usable(j.completion.Model.Group, exclude, now)
 	if !j.delivered {
 		j.setVersion(sampleVersion(engines, j.completion.Model.Version, rnd))
 	}
@@ -120,13 +134,34 @@
 	d, ok := j.relay.deps.Placer.Place(&j.placeRequest, withVersion(engines, j.engineRequest.Version, j.completion.Model.Version), now, rnd)
 	if !ok {
 		return d, qm.Refuse(qm.CodeNoEndpoint, "place",
-			"No engine can take a request for %s now; nothing was run, try again later.", j.completion.Model.ID).WithRetryAfter(NoEngineRetryAfter)
+			"No engine can take a request for %s now; nothing was run, try again later.", j.completion.Model.ID).
+			WithRetryAfter(noEngineRetryAfter(pausedUntil, now))
 	}
 	j.relay.deps.Placer.Dispatched(&j.placeRequest, d, now)
 	j.attempt = j.relay.deps.Health.Begin(d.Endpoint.ID)
+	j.ended, j.tookRequest = j.relay.deps.Pauses.Sent(d.Endpoint.ID, d.Endpoint.Incarnation, now), false
 	return d, nil
 }
 
+// noEngineRetryAfter returns the Retry-After time of a request that no engine can take, given the earliest end of a pause, which is zero if no
+// engine has asked for one.
+func noEngineRetryAfter(pausedUntil, now time.Time) time.Duration {
+	if pausedUntil.IsZero() {
+		return NoEngineRetryAfter
+	}
+	wait := min(max(pausedUntil.Sub(now), NoEngineRetryAfter), maxPausedRetryAfter)
+	return wait + rand.N(wait/2)
+}
+
+// failed records a failed attempt, and the pause that the engine asked for when it refused the request.
+func (j *job) failed(d qm.Placement, err error) {
+	j.attempt.Failed(err)
+	var e *qm.Error
+	if errors.As(err, &e) && e.Outcome == qm.OutcomeNotRun && e.Code == qm.CodeNoEndpoint && e.RetryAfter > 0 {
+		j.relay.deps.Pauses.Begin(d.Endpoint.ID, d.Endpoint.Incarnation, e.RetryAfter, time.Now())
+	}
+}
+
 // setVersion fills in the requests for placement and the engine for weights version v.
 func (j *job) setVersion(v qm.VersionID) {
 	c := j.completion
@@ -144,6 +179,7 @@
 // firstToken reports the first chunk from an engine to health and placement, and the first one of the completion to metrics.
 func (j *job) firstToken(d qm.Placement, cached qm.Tokens) {
 	now := time.Now()
+	j.tookRequest = true
 	j.attempt.Succeeded()
 	j.relay.deps.Placer.FirstToken(&j.placeRequest, d, cached, now)
 	if !j.firstTokenRecorded {
--- a/internal/route/relay/relay_test.go
+++ b/internal/route/relay/relay_test.go
@@ -14,6 +14,7 @@
 
 	qm "quetzalmount.dev/quetzalmount"
 	"quetzalmount.dev/quetzalmount/internal/infra/meter"
+	"quetzalmount.dev/quetzalmount/internal/limit/pause"
 	"quetzalmount.dev/quetzalmount/internal/route/relay"
 	"quetzalmount.dev/quetzalmount/internal/route/stream"
 	"quetzalmount.dev/quetzalmount/internal/state/board"
@@ -23,6 +24,7 @@
 type fakeEngines struct {
 	mu       sync.Mutex
 	dead     map[qm.EndpointID]bool
+	pause    map[qm.EndpointID]time.Duration // engines that refuse and ask for a pause
 	asked    []qm.EngineRequest
 	askedIDs []qm.EndpointID
 }
@@ -34,6 +36,9 @@
 	if e.dead[to.ID] {
 		return nil, qm.Refuse(qm.CodeNoEndpoint, "start", "connection refused").WithPeer(to.Address)
 	}
+	if d, ok := e.pause[to.ID]; ok {
+		return nil, qm.Refuse(qm.CodeNoEndpoint, "start", "status 503").WithPeer(to.Address).WithRetryAfter(d)
+	}
 	return &reader{}, nil
 }
 
@@ -133,6 +138,11 @@
 }
 
 func run(t *testing.T, f *fakeDeps, e *fakeEngines, all qm.Endpoints) (string, error) {
+	t.Helper()
+	return runWithPauses(t, f, e, all, pause.New())
+}
+
+func runWithPauses(t *testing.T, f *fakeDeps, e *fakeEngines, all qm.Endpoints, pauses *pause.Table) (string, error) {
 	t.Helper()
 	b := board.New()
 	b.Endpoints.Store(all)
@@ -140,7 +150,7 @@
 	defer func() { _ = m.Close() }()
 	s := stream.New(e, stream.Options{})
 	defer func() { _ = s.Close() }()
-	r := relay.New(relay.Deps{Board: b, Admit: f.admit, AcquireSlot: f.acquireSlot, Placer: f, Streamer: s, Health: f, RetryBudget: f, Meter: m})
+	r := relay.New(relay.Deps{Board: b, Admit: f.admit, AcquireSlot: f.acquireSlot, Placer: f, Streamer: s, Health: f, RetryBudget: f, Meter: m, Pauses: pauses})
 	text := ""
 	err := r.Complete(t.Context(), &qm.Completion{
 		Request: "r", Team: &qm.Team{ID: "t"}, Model: &qm.Model{ID: "m", Group: "g", Version: "v2", CanContinue: true},
@@ -209,6 +219,46 @@
 	}
 }
 
+// TestPauses guards against requests to an engine that has refused one and asked for a pause, and against callers that are told to come back
+// before the first pause ends.
+func TestPauses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, pauses := &fakeDeps{retryLimit: 10}, pause.New()
+		e := &fakeEngines{pause: map[qm.EndpointID]time.Duration{"e1": 5 * time.Second}}
+		all := qm.Endpoints{engine(1, "v2", qm.Live), engine(2, "v2", qm.Live)}
+		for range 20 {
+			if text, err := runWithPauses(t, f, e, all, pauses); err != nil || text != "ab" {
+				t.Fatalf("Complete() = %q, %v", text, err)
+			}
+		}
+		count := func(id qm.EndpointID) (n int) {
+			for _, asked := range e.askedIDs {
+				if asked == id {
+					n++
+				}
+			}
+			return n
+		}
+		if n := count("e1"); n != 1 {
+			t.Errorf("the engine that asked for a pause got %d requests, want 1", n)
+		}
+		e.pause["e2"] = time.Minute
+		_, err := runWithPauses(t, f, e, all, pauses)
+		if got := qm.AsError(err); got.Outcome != qm.OutcomeNotRun || got.RetryAfter < 4*time.Second || got.RetryAfter > time.Minute {
+			t.Errorf("Complete() = %v with Retry-After %v", err, got.RetryAfter)
+		}
+		before := len(e.askedIDs)
+		if _, err = runWithPauses(t, f, e, all, pauses); qm.AsError(err).RetryAfter < 4*time.Second || len(e.askedIDs) > before {
+			t.Errorf("Complete() = %v with Retry-After %v after %d more requests", err, qm.AsError(err).RetryAfter, len(e.askedIDs)-before)
+		}
+		time.Sleep(5 * time.Second)
+		delete(e.pause, "e1")
+		if text, err := runWithPauses(t, f, e, all, pauses); err != nil || text != "ab" {
+			t.Errorf("after the pause: Complete() = %q, %v", text, err)
+		}
+	})
+}
+
 // TestVersions guards against requests whose cache salt or version is not that of the engine, and against a rollout during which one part
 // of the group gets no requests.
 func TestVersions(t *testing.T) {
