Guard what test fixtures share with the code under test

The race detector, run by hand on arm64, reported the fixtures of TestFatalRequest and of four tests of package roster, which write fields that the code under test reads in its goroutines. No race was in the code itself. The tests' checks are unchanged.

--- a/internal/member/roster/weights_test.go
+++ b/internal/member/roster/weights_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,8 +14,10 @@
 
 // listFixture is a roster with an instance list of one engine.
 type listFixture struct {
-	b      *board.Board
-	r      *roster.Roster
+	b *board.Board
+	r *roster.Roster
+
+	mu     sync.Mutex
 	engine qm.Endpoint
 	probes int
 }
@@ -28,10 +31,17 @@
 	f.r = roster.New(t.Context(), roster.Options{
 		Board: f.b, Self: qm.Member{Instance: "a"}, ListInterval: 100 * time.Millisecond,
 		List: func(context.Context) ([]qm.Member, []*qm.Endpoint, error) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
 			e := f.engine
 			return nil, []*qm.Endpoint{&e}, nil
 		},
-		Probe: func(context.Context, *qm.Endpoint) error { f.probes++; return nil },
+		Probe: func(context.Context, *qm.Endpoint) error {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.probes++
+			return nil
+		},
 	})
 	t.Cleanup(f.r.Close)
 	time.Sleep(150 * time.Millisecond)
@@ -78,13 +88,17 @@
 		f := newListFixture(t)
 		f.r.RecordVersion("e", "m", "2")
 		time.Sleep(time.Second)
+		f.mu.Lock()
 		f.engine.ListedAt = time.Now() // heartbeat from before the engine had loaded
+		f.mu.Unlock()
 		time.Sleep(200 * time.Millisecond)
 		if v := f.view(); v.Models["m"] != "2" {
 			t.Errorf("version %s, want the one that the engine reported", v.Models["m"])
 		}
 		time.Sleep(5 * time.Second)
+		f.mu.Lock()
 		f.engine.ListedAt = time.Now()
+		f.mu.Unlock()
 		time.Sleep(200 * time.Millisecond)
 		if v := f.view(); v.Models["m"] != "1" {
 			t.Errorf("version %s, want the one in the newer list", v.Models["m"])
@@ -97,7 +111,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newListFixture(t)
 		time.Sleep(time.Second)
+		f.mu.Lock()
 		f.engine.ListedAt = time.Now()
+		f.mu.Unlock()
 		time.Sleep(200 * time.Millisecond)
 		hint := roster.Hint{Endpoint: "e", Incarnation: "1", Kind: roster.HintWeights, Model: "m", Version: "2", Age: time.Second}
 		if f.r.ApplyHint(hint) {
@@ -135,7 +151,9 @@
 		if f.view().State != qm.Leaving {
 			t.Fatal("not leaving")
 		}
+		f.mu.Lock()
 		f.engine.Incarnation, f.engine.ListedAt = "2", time.Now()
+		f.mu.Unlock()
 		time.Sleep(200 * time.Millisecond)
 		if v := f.view(); v.State != qm.Live || v.Incarnation != "2" {
 			t.Errorf("after the restart: %+v", v)
--- a/internal/route/exchg/fatal_test.go
+++ b/internal/route/exchg/fatal_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -22,12 +23,19 @@
 
 // fatalClient ends the engine that runs the request with body "poison" for 200 ms and answers all others.
 type fatalClient struct {
+	mu    sync.Mutex
 	ended map[qm.EndpointID]bool
 	sent  int
 }
 
+func (c *fatalClient) hasEnded(id qm.EndpointID) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ended[id]
+}
+
 func (c *fatalClient) Send(ctx context.Context, x *qm.Exchange, o qm.ExchangeAttempt) (*qm.Response, error) {
-	if c.ended[o.Endpoint.ID] {
+	if c.hasEnded(o.Endpoint.ID) {
 		return nil, qm.Refuse(qm.CodeEndpointUnreached, "connect", "connection refused")
 	}
 	c.sent++
@@ -37,7 +45,9 @@
 			return nil, qm.Fail(qm.CodeEndpointFailed, "send", o.Endpoint.Address, context.Cause(ctx))
 		case <-time.After(200 * time.Millisecond):
 		}
+		c.mu.Lock()
 		c.ended[o.Endpoint.ID] = true
+		c.mu.Unlock()
 		return nil, qm.Fail(qm.CodeEndpointFailed, "send", o.Endpoint.Address, errors.New("reset"))
 	}
 	return &qm.Response{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("ok"))}, nil
@@ -96,7 +106,7 @@
 		deps.Client = client
 		deps.Fatal = fatal.New(t.Context(), fatal.Options{
 			Probe: func(_ context.Context, e *qm.Endpoint) error {
-				if client.ended[e.ID] {
+				if client.hasEnded(e.ID) {
 					return syscall.ECONNREFUSED
 				}
 				return nil
