--- a/internal/standin/engsrv/core_test.go
+++ b/internal/standin/engsrv/core_test.go
@@ -109,7 +109,13 @@
 		if _, reqErr := admitRequest(t, s, "too many", "", 0, 1); reqErr == nil || reqErr.status != 429 {
 			t.Errorf("fifth request = %+v, want status 429", reqErr)
 		}
-		if joined, reqErr := admitRequest(t, s, "low", "", 0, 1); reqErr != nil || joined.id != "low" || len(s.current().waiting) != 3 {
+		waiting := func() int {
+			c := s.current()
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			return len(c.waiting)
+		}
+		if joined, reqErr := admitRequest(t, s, "low", "", 0, 1); reqErr != nil || joined.id != "low" || waiting() != 3 {
 			t.Errorf("second request with a known id = %+v, want it to join the first", reqErr)
 		}
 		var order []string
