Add a failing test for events that wait for the next one when an engine breaks off

Found with TestTextInResumedStream: a caller got no byte of a stream whose first event had arrived. Events are flushed only if nothing else is buffered, and the torn rest of the next event counts.

--- a/internal/route/exchg/exchg_test.go
+++ b/internal/route/exchg/exchg_test.go
@@ -278,3 +278,30 @@
 		RetryBudget: retry.NewGroupBudget(retry.GroupBudgetOptions{Ratio: 0.2, Extra: 50, Window: 10 * time.Second, UsableFraction: 1, Routers: func() int { return 1 }}),
 	}
 }
+
+// flushRecorder records whether the events that were written have been flushed.
+type flushRecorder struct {
+	recorder
+	flushed bool
+}
+
+func (w *flushRecorder) WriteEvents(raw []byte, flush bool) error {
+	w.flushed = flush
+	return w.recorder.WriteEvents(raw, flush)
+}
+
+// TestFlushBeforeResume guards against events that are ready and reach the caller only after the stream was resumed, because the endpoint broke
+// off in the middle of the next event.
+func TestFlushBeforeResume(t *testing.T) {
+	w := &flushRecorder{}
+	resume := func(ctx context.Context) (*qm.Response, error) {
+		if !w.flushed {
+			t.Error("the first event is not flushed when the stream is resumed")
+		}
+		return answerWith(200, event2, nil)(ctx)
+	}
+	s := &scriptedClient{steps: []func(context.Context) (*qm.Response, error){answerWith(200, event1+"id: 2\nda", errors.New("reset")), resume}}
+	if err := newRunner(t, s).Run(t.Context(), exchange(qm.Resumable), w); err != nil {
+		t.Fatal(err)
+	}
+}
