Name the longest wait for a pause, and keep one bound of Retry-After for all pauses

From reading the change once more: half of the objective stood as a bare number, and package relay repeated a constant of package exchg.

--- a/internal/limit/pause/pause.go
+++ b/internal/limit/pause/pause.go
@@ -1,6 +1,6 @@
 // Package pause tracks the endpoints that have asked this router to send nothing for some time, and brings work back to them by steps.
 //
-// The table takes no decision for other routers: an endpoint may refuse one router because of what that router sends.
+// The table says nothing to other routers: an endpoint may refuse one router because of what that router sends.
 package pause
 
 import (
@@ -10,6 +10,10 @@
 	qm "quetzalmount.dev/quetzalmount"
 )
 
+// MaxRetryAfter bounds the Retry-After time that callers are told while all endpoints are paused, without its random addition. By then, another
+// endpoint or an operator may have helped.
+const MaxRetryAfter = time.Minute
+
 const (
 	// firstStep is the number of requests that may run at an endpoint at the same time when its pause ends. It doubles with each request
 	// that the endpoint has taken; beyond lastStep there is no limit any more.
--- a/internal/route/exchg/pauses.go
+++ b/internal/route/exchg/pauses.go
@@ -7,6 +7,7 @@
 
 	qm "quetzalmount.dev/quetzalmount"
 	"quetzalmount.dev/quetzalmount/internal/infra/period"
+	"quetzalmount.dev/quetzalmount/internal/limit/pause"
 )
 
 const (
@@ -16,10 +17,11 @@
 	// pauseJitter is the maximum random addition to a wait for the end of a pause, as a fraction of the wait, so that requests and callers
 	// don't come back in one instant.
 	pauseJitter = 0.5
-	// maxPausedRetryAfter bounds Retry-After while all endpoints are paused. By then, another endpoint or an operator may have helped.
-	maxPausedRetryAfter = time.Minute
 	// minPauseJitter is the lower bound of that maximum.
 	minPauseJitter = 20 * time.Millisecond
+	// maxPauseWait is the maximum time from the receipt of a request to the end of its wait, as a fraction of the latency objective. The rest
+	// is left for the answer.
+	maxPauseWait = 0.5
 )
 
 // pausedError means that endpoints could take the request, but all of them want no requests now.
@@ -44,7 +46,7 @@
 		wait := withJitter(paused.until.Sub(now))
 		if !t.mayWait(wait, now) {
 			return nil, qm.Refuse(qm.CodeOverload, "place", "all endpoints of group %s have asked for a pause of at least %d ms",
-				t.x.Group, paused.until.Sub(now).Milliseconds()).WithRetryAfter(min(wait, maxPausedRetryAfter))
+				t.x.Group, paused.until.Sub(now).Milliseconds()).WithRetryAfter(min(wait, pause.MaxRetryAfter))
 		}
 		if !period.Sleep(ctx, wait) {
 			return nil, qm.Refuse(qm.CodeTimeout, "place", "ended while all endpoints of group %s wanted no requests", t.x.Group).
@@ -56,7 +58,8 @@
 // mayWait reports whether the request can be placed after a wait and still be answered in time.
 func (t *task) mayWait(wait time.Duration, now time.Time) bool {
 	at := now.Add(wait)
-	return at.Sub(t.x.Received) < t.x.Route.LatencyObjective/2 && at.Add(minAttemptTime).Before(t.x.EffectiveDeadline)
+	latest := time.Duration(maxPauseWait * float64(t.x.Route.LatencyObjective))
+	return at.Sub(t.x.Received) < latest && at.Add(minAttemptTime).Before(t.x.EffectiveDeadline)
 }
 
 // withJitter returns d with a random addition.
--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -24,9 +24,6 @@
 // NoEngineRetryAfter is the Retry-After time when no engine can take a request.
 const NoEngineRetryAfter = time.Second
 
-// maxPausedRetryAfter bounds the Retry-After time, without its random addition, while all engines have asked for a pause.
-const maxPausedRetryAfter = time.Minute
-
 // Admit takes the cost of a request from the limits of its team, or refuses the request.
 type Admit func(ctx context.Context, team *qm.Team, cost qm.Cost) (qm.Grant, error)
 
@@ -149,7 +146,8 @@
 	if pausedUntil.IsZero() {
 		return NoEngineRetryAfter
 	}
-	wait := min(max(pausedUntil.Sub(now), NoEngineRetryAfter), maxPausedRetryAfter)
+	// The addition keeps callers from coming back in one instant.
+	wait := min(max(pausedUntil.Sub(now), NoEngineRetryAfter), pause.MaxRetryAfter)
 	return wait + rand.N(wait/2)
 }
 
