Log what requests on ended engines have in common, and what is not held against them

The line about an end has the fingerprints now, failed requests list the parts of their prompts, acquittals are at level info, and an interruption that accuses nobody has a line with its cause. Reports are counted by kind. No decision changes.

--- a/internal/limit/fatal/tracker.go
+++ b/internal/limit/fatal/tracker.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
+	"github.com/uber-go/tally/v4"
 
 	qm "quetzalmount.dev/quetzalmount"
 	"quetzalmount.dev/quetzalmount/internal/infra/logs"
@@ -29,6 +30,19 @@
 	ReportConvicted
 )
 
+// String returns the name of the kind in metrics.
+func (k ReportKind) String() string {
+	switch k {
+	case ReportEnded:
+		return "Ended"
+	case ReportCompleted:
+		return "Completed"
+	case ReportConvicted:
+		return "Convicted"
+	}
+	return "Unknown"
+}
+
 // Report is an observation of a request that routers pass on to each other.
 type Report struct {
 	Kind        ReportKind
@@ -67,7 +81,9 @@
 	Announce func()
 	// IsFirst reports whether this router is the one that tests convicted requests and repeats convictions for others.
 	IsFirst func(qm.Fingerprint) bool
-	Log     logr.Logger
+	// Scope receives metrics; nil discards them.
+	Scope tally.Scope
+	Log   logr.Logger
 }
 
 // Tracker follows the requests of this router and decides with those of the others which must not run. It is safe for concurrent use.
@@ -94,6 +110,9 @@
 
 // New returns a Tracker that works until Close is called.
 func New(ctx context.Context, opts Options) *Tracker {
+	if opts.Scope == nil {
+		opts.Scope = tally.NoopScope
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	t := &Tracker{
 		opts: opts, ctx: ctx, cancel: cancel, ledger: NewLedger(),
@@ -175,10 +194,11 @@
 	acquitted := r.fingerprint != 0 && t.ledger.Acquit(r.fingerprint, now)
 	if acquitted {
 		t.queue(Report{Kind: ReportCompleted, Fingerprint: r.fingerprint}, now)
+		t.opts.Scope.Tagged(map[string]string{"kind": ReportCompleted.String()}).Counter("request_reports").Inc(1)
 	}
 	t.mu.Unlock()
 	if acquitted {
-		t.opts.Log.V(1).Info("accused request completed", logs.Fingerprint, formatFingerprint(r.fingerprint), logs.Endpoint, r.endpoint.ID)
+		t.opts.Log.Info("accused request completed", logs.Fingerprint, formatFingerprint(r.fingerprint), logs.Endpoint, r.endpoint.ID)
 		t.opts.Announce()
 	}
 }
@@ -197,8 +217,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r.remove()
-	if r.fingerprint == 0 || r.endpoint.State != qm.Live || t.ctx.Err() != nil {
+	if r.fingerprint == 0 || t.ctx.Err() != nil {
+		return
+	}
+	if r.endpoint.State != qm.Live {
 		// An engine that loads weights or leaves interrupts its requests on purpose.
+		t.logNotAccused([]*Run{r}, "the engine was "+string(r.endpoint.State))
 		return
 	}
 	run := EndpointRun{r.endpoint.ID, r.endpoint.Incarnation}
@@ -237,13 +261,16 @@
 	t.mu.Unlock()
 	if !errors.Is(err, syscall.ECONNREFUSED) {
 		// The connection was reset, or the engine can't be reached: neither shows that its process has ended.
+		t.logNotAccused(accused, "its port is open or can't be reached")
 		return
 	}
 	if known := t.opts.Lookup(e.ID); known == nil || known.State == qm.Leaving || known.Incarnation != run.Incarnation {
+		t.logNotAccused(accused, "the engine leaves or was replaced")
 		return // a planned end
 	}
+	requests, fingerprints := identify(accused)
 	t.opts.Log.Info("engine ended while it ran requests", logs.Endpoint, e.ID, "Incarnation", run.Incarnation, "Address", e.Address,
-		"Requests", requestsOf(accused))
+		"Requests", requests, "Fingerprints", fingerprints)
 	for _, r := range accused {
 		t.apply(Report{Kind: ReportEnded, Fingerprint: r.fingerprint, Request: r.request, Run: run, Ran: at.Sub(r.began)}, at)
 	}
@@ -277,6 +304,7 @@
 	}
 	if isNew {
 		t.queue(r, at)
+		t.opts.Scope.Tagged(map[string]string{"kind": r.Kind.String()}).Counter("request_reports").Inc(1)
 	}
 	if convicted {
 		stopped := t.running[r.Fingerprint]
@@ -314,7 +342,9 @@
 func (t *Tracker) repeatConvictions(now time.Time) {
 	t.mu.Lock()
 	n := 0
-	for _, c := range t.ledger.Convictions(now) {
+	convictions := t.ledger.Convictions(now)
+	t.opts.Scope.Gauge("requests_convicted").Update(float64(len(convictions)))
+	for _, c := range convictions {
 		if t.opts.IsFirst(c.Fingerprint) {
 			n++
 			t.queue(Report{Kind: ReportConvicted, Fingerprint: c.Fingerprint, For: c.Until.Sub(now)}, now)
@@ -346,11 +376,17 @@
 
 func formatFingerprint(fp qm.Fingerprint) string { return strconv.FormatUint(uint64(fp), 16) }
 
-// requestsOf returns the IDs of the requests of runs, for the log.
-func requestsOf(runs []*Run) []qm.RequestID {
-	out := make([]qm.RequestID, 0, len(runs))
+// identify returns the requests and the fingerprints of runs, for the log.
+func identify(runs []*Run) (requests []qm.RequestID, fingerprints []string) {
 	for _, r := range runs {
-		out = append(out, r.request)
+		requests, fingerprints = append(requests, r.request), append(fingerprints, formatFingerprint(r.fingerprint))
 	}
-	return out
+	return requests, fingerprints
+}
+
+// logNotAccused logs that the interruption of runs at one engine is not held against their requests.
+func (t *Tracker) logNotAccused(runs []*Run, cause string) {
+	requests, fingerprints := identify(runs)
+	t.opts.Log.Info("interrupted requests not accused", logs.Endpoint, runs[0].endpoint.ID, "Incarnation", runs[0].endpoint.Incarnation,
+		"Requests", requests, "Fingerprints", fingerprints, "Cause", cause)
 }
--- a/internal/route/exchg/exchg.go
+++ b/internal/route/exchg/exchg.go
@@ -519,7 +519,7 @@
 		"Attempts", t.history,
 	}
 	if err != nil {
-		r.deps.Log.Error(err, "request failed", keys...)
+		r.deps.Log.Error(err, "request failed", append(keys, "Parts", partIDs(x))...)
 		return
 	}
 	switch {
@@ -532,5 +532,14 @@
 	}
 }
 
+// partIDs returns the IDs of the parts of the prompt that other requests may share, for the log.
+func partIDs(x *qm.Exchange) []string {
+	var out []string
+	for _, s := range x.Segments[:max(len(x.Segments)-1, 0)] {
+		out = append(out, s.ID)
+	}
+	return out
+}
+
 // responsesPerLogLine is the number of first-attempt responses for each one logged at info level.
 const responsesPerLogLine = 16
