Recognise parts of prompts that end engines

Cause: a fingerprint covers the whole prompt. Each request with the part was a new one, was accused once, and nobody was accused twice.

Change: a request accuses itself as a whole and each part of its prompt but the last. A part needs three ends, since common parts run on most engines. Of the suspects of one request that explain the most ends the most specific one is convicted, so that the parts before a bad one, which come with every end too, are not; an end with a convicted suspect counts against no other, nor do ends that a convicted one explains as well. A conviction is dropped if a later one explains all its ends and more. Forgetting prefers suspects that are not convicted; a prompt has at most 64 parts with a fingerprint. Reports between routers carry the parts in a new field, which older routers skip.

--- a/exchange.go
+++ b/exchange.go
@@ -75,6 +75,30 @@
 	return string(v)
 }
 
+// maxFingerprintParts bounds the parts of a prompt with a fingerprint of their own. Prompts have a handful of parts.
+const maxFingerprintParts = 64
+
+// Fingerprints returns the fingerprint of the whole exchange and those of the parts of its prompt that other exchanges may share, in order
+// and at most 64. The last part is not shared.
+func (x *Exchange) Fingerprints() []Fingerprint {
+	out := []Fingerprint{x.Fingerprint()}
+	for _, s := range x.Segments[:min(max(len(x.Segments)-1, 0), maxFingerprintParts)] {
+		out = append(out, x.partFingerprint(s))
+	}
+	return out
+}
+
+// partFingerprint returns a hash of the team, the model and a part of the prompt.
+func (x *Exchange) partFingerprint(s PromptSegment) Fingerprint {
+	var h xxhash.Digest
+	h.Reset()
+	for _, v := range []string{"part", string(x.Team), string(x.Model), s.ID} {
+		_, _ = h.WriteString(v)
+		_, _ = h.Write([]byte{0})
+	}
+	return Fingerprint(h.Sum64())
+}
+
 // Fingerprint returns a hash of the team and of what the endpoint is asked to do: the model and the prompt, or the method, the target and
 // the body where there is no prompt. Retries of a request have the same fingerprint, and so have equal requests of the same team.
 func (x *Exchange) Fingerprint() Fingerprint {
--- a/exchange_test.go
+++ b/exchange_test.go
@@ -45,3 +45,31 @@
 		}
 	}
 }
+
+// TestFingerprints guards against a shared part of a prompt that is told apart by what else the request holds, and against telling apart more
+// parts than can be remembered.
+func TestFingerprints(t *testing.T) {
+	exchange := func(team qm.TeamID, parts ...string) *qm.Exchange {
+		x := &qm.Exchange{Team: team, Group: "g", Model: "m", Method: "POST", Target: &url.URL{Path: "/a"}}
+		for _, id := range parts {
+			x.Segments = append(x.Segments, qm.PromptSegment{ID: id, Tokens: 10})
+		}
+		return x
+	}
+	x, y := exchange("t", "a", "b", "own1").Fingerprints(), exchange("t", "c", "b", "own2").Fingerprints()
+	if len(x) != 3 || len(y) != 3 {
+		t.Fatalf("%d and %d fingerprints, want the whole and two parts each", len(x), len(y))
+	}
+	if x[0] == y[0] || x[1] == y[1] || x[2] != y[2] {
+		t.Errorf("fingerprints %x and %x, want only the last ones equal", x, y)
+	}
+	if other := exchange("u", "a", "b", "own1").Fingerprints(); other[2] == x[2] {
+		t.Error("another team's part has the same fingerprint")
+	}
+	if got := exchange("t", "own").Fingerprints(); len(got) != 1 {
+		t.Errorf("%d fingerprints of a prompt without shared parts", len(got))
+	}
+	if got := exchange("t", make([]string, 10000)...).Fingerprints(); len(got) != 65 {
+		t.Errorf("%d fingerprints of a prompt with 10,000 parts", len(got))
+	}
+}
--- a/internal/limit/fatal/ledger.go
+++ b/internal/limit/fatal/ledger.go
@@ -1,12 +1,14 @@
-// Package fatal recognises requests that end the engines that run them, and keeps them away from the engines.
+// Package fatal recognises what ends the engines that run it, whole requests and parts of prompts, and keeps it away from the engines.
 //
-// When an engine ends, what each request that it ran asks for is accused. A run that completes acquits it of all earlier accusations. It
-// is convicted after two accusations if these are of different requests and it explains most of the recent ends of engines, and after
-// three if it explains a third of them: bystanders of a crash are repeated elsewhere and succeed, those that are hit twice are a single
-// request, and in a series of unrelated crashes no request explains that many. Routers exchange accusations, acquittals and convictions, so
-// that all of them reach the same verdict.
+// When an engine ends, each request that it ran is accused: the request as a whole and each part of its prompt that other requests may
+// share. A run that completes acquits all of them of earlier accusations. A request is convicted after two accusations if these are of
+// different requests and it explains most of the recent ends of engines, and after three if it explains a third of them: bystanders of a
+// crash are repeated elsewhere and succeed, those that are hit twice are a single request, and in a series of unrelated crashes no request
+// explains that many. A part needs three, because common parts run on most engines. What several suspects of one request explain equally
+// well convicts the most specific one, and what a convicted one explains does not count against others.
+// Routers exchange accusations, acquittals and convictions, so that all of them reach the same verdict.
 //
-// Requests are told apart by their fingerprint, which contains the team. A team can therefore not bring another team's request under
+// Suspects are told apart by their fingerprints, which contain the team. A team can therefore not bring another team's request under
 // suspicion.
 package fatal
 
@@ -26,8 +28,8 @@
 	// simultaneous is the time within which the ends of several engines count as one: they have a common cause, such as a rack that lost
 	// power, and a request that runs on several of them is accused only once.
 	simultaneous = 150 * time.Millisecond
-	// fewEnds convict if they are of several requests and explain the fraction fewEndsExplain of the recent ends, manyEnds if they explain
-	// manyEndsExplain.
+	// fewEnds convict a whole request if they are of several requests and explain the fraction fewEndsExplain of the recent ends, manyEnds
+	// convict it and a part if they explain manyEndsExplain.
 	fewEnds         = 2
 	fewEndsExplain  = 0.6
 	manyEnds        = 3
@@ -68,10 +70,12 @@
 	began, at time.Time
 }
 
-// suspect is a request that was accused.
+// suspect is a whole request or a part of a prompt that was accused.
 type suspect struct {
-	// ends are the engines that ended while they ran the request, since its last acquittal.
-	ends       []end
+	// ends are the engines that ended while they ran the suspect, since its last acquittal.
+	ends []end
+	// isPart is set for a part of a prompt.
+	isPart     bool
 	acquitted  time.Time
 	convicted  time.Time
 	sentence   time.Duration
@@ -91,59 +95,107 @@
 
 // Accusation is the end of an engine that ran a request since Began, at the time At.
 type Accusation struct {
-	Fingerprint qm.Fingerprint
-	Request     qm.RequestID
-	Run         EndpointRun
-	Began, At   time.Time
+	// Fingerprints are those of the request, as quetzalmount.Exchange.Fingerprints returns them.
+	Fingerprints []qm.Fingerprint
+	Request      qm.RequestID
+	Run          EndpointRun
+	Began, At    time.Time
+}
+
+// Accuse records an accusation. It reports whether that was new, and which fingerprint became convicted by it, 0 if none.
+func (l *Ledger) Accuse(a Accusation) (isNew bool, convicted qm.Fingerprint) {
+	l.recordEnd(a.Run, a.At)
+	if i := slices.IndexFunc(a.Fingerprints, func(fp qm.Fingerprint) bool { return l.isConvictedFingerprint(fp, a.At) }); i >= 0 {
+		// The convicted one explains the end.
+		s := l.suspects[a.Fingerprints[i]]
+		isNew = l.addEnd(s, a)
+		l.release(s)
+		return isNew, 0
+	}
+	accused := make([]*suspect, 0, len(a.Fingerprints))
+	for i, fp := range a.Fingerprints {
+		s := l.suspectOf(fp, a.At)
+		s.isPart = i > 0
+		isNew = l.addEnd(s, a) || isNew
+		accused = append(accused, s)
+	}
+	if !isNew {
+		return false, 0
+	}
+	i := l.strongest(accused, a.At)
+	if i < 0 {
+		return true, 0
+	}
+	s := accused[i]
+	s.sentence = min(max(minSentence, 2*s.sentence), maxSentence)
+	s.convicted, s.testedAt = a.At, time.Time{}
+	l.release(s)
+	return true, a.Fingerprints[i]
 }
 
-// Accuse records an accusation. It reports whether that was new, and whether the fingerprint became convicted by it.
-func (l *Ledger) Accuse(a Accusation) (isNew, convicted bool) {
-	fp, run, at := a.Fingerprint, a.Run, a.At
-	l.recordEnd(run, at)
+// suspectOf returns the suspect with a fingerprint, which it adds if there is none.
+func (l *Ledger) suspectOf(fp qm.Fingerprint, now time.Time) *suspect {
 	s := l.suspects[fp]
 	if s == nil {
-		l.makeRoom(at)
+		l.makeRoom(now)
 		s = &suspect{}
 		l.suspects[fp] = s
 	}
-	if !at.After(s.acquitted) || slices.ContainsFunc(s.ends, func(e end) bool { return e.run == run }) {
-		return false, false
-	}
-	s.ends = append(slices.DeleteFunc(s.ends, func(e end) bool { return at.Sub(e.at) > evidenceWindow }), end{run, a.Request, a.Began, at})
-	s.lastChange = at
-	if l.isConvicted(s, at) {
-		l.exonerate(fp, s)
-		return true, false
+	return s
+}
+
+// addEnd adds the end of an accusation to a suspect and reports whether it is new.
+func (l *Ledger) addEnd(s *suspect, a Accusation) bool {
+	if !a.At.After(s.acquitted) || slices.ContainsFunc(s.ends, func(e end) bool { return e.run == a.Run }) {
+		return false
 	}
-	if !l.isProven(s, at) && s.testedAt.IsZero() {
-		return true, false
+	s.ends = append(slices.DeleteFunc(s.ends, func(e end) bool { return a.At.Sub(e.at) > evidenceWindow }), end{a.Run, a.Request, a.Began, a.At})
+	s.lastChange = a.At
+	return true
+}
+
+// strongest returns the index of the accused, those of one request, that is to be convicted, -1 if the accusations of none suffice. Among those
+// that explain the most ends it is the most specific one: the whole request, else the last part, since a part comes with all parts before it.
+func (l *Ledger) strongest(accused []*suspect, now time.Time) int {
+	best, most := -1, 0
+	for n := range accused {
+		i := (len(accused) - n) % len(accused)
+		s := accused[i]
+		failedTest := !s.convicted.IsZero() && !s.testedAt.IsZero()
+		if !failedTest && !l.isProven(s, now) {
+			continue
+		}
+		if n := distinctEnds(s.ends); n > most {
+			best, most = i, n
+		}
 	}
-	s.sentence = min(max(minSentence, 2*s.sentence), maxSentence)
-	s.convicted, s.testedAt = at, time.Time{}
-	return true, true
+	return best
 }
 
-// exonerate drops the accusations of all other requests that ran only on engines whose end a convicted request explains, and that it
-// explains fewer of. With fewer than manyEnds ends, a bystander may be the one that was convicted.
-func (l *Ledger) exonerate(convicted qm.Fingerprint, s *suspect) {
-	if len(s.ends) < manyEnds {
+// release drops the accusations and the conviction of each other suspect whose ends a convicted one explains, and that explains fewer.
+// With fewer than manyEnds ends, a bystander may be the one that was convicted.
+func (l *Ledger) release(convicted *suspect) {
+	if len(convicted.ends) < manyEnds {
 		return
 	}
-	for fp, other := range l.suspects {
-		if fp == convicted || len(other.ends) == 0 || len(other.ends) >= len(s.ends) {
+	for _, s := range l.suspects {
+		if s == convicted || len(s.ends) == 0 || len(s.ends) >= len(convicted.ends) {
 			continue
 		}
-		explained := !slices.ContainsFunc(other.ends, func(e end) bool {
-			return !slices.ContainsFunc(s.ends, func(f end) bool { return f.run == e.run })
-		})
-		if explained {
-			*other = suspect{lastChange: other.lastChange}
+		if len(without(s.ends, convicted.ends)) == 0 {
+			*s = suspect{isPart: s.isPart, lastChange: s.lastChange}
 		}
 	}
 }
 
-// isProven reports whether the accusations suffice for a conviction.
+// without returns the ends that are not among others.
+func without(ends, others []end) []end {
+	return slices.DeleteFunc(slices.Clone(ends), func(e end) bool {
+		return slices.ContainsFunc(others, func(o end) bool { return o.run == e.run })
+	})
+}
+
+// isProven reports whether the accusations that no convicted suspect explains as well suffice for a conviction.
 func (l *Ledger) isProven(s *suspect, now time.Time) bool {
 	var recent []end
 	for _, e := range l.recent {
@@ -151,10 +203,22 @@
 			recent = append(recent, e)
 		}
 	}
-	n := distinctEnds(s.ends)
-	explained := float64(n) / float64(distinctEnds(recent))
-	severalRequests := slices.ContainsFunc(s.ends, func(e end) bool { return e.request != s.ends[0].request })
-	return n >= fewEnds && severalRequests && explained >= fewEndsExplain || n >= manyEnds && explained >= manyEndsExplain
+	ends := s.ends
+	for _, other := range l.suspects {
+		if other != s && l.isConvicted(other, now) && len(other.ends) >= len(s.ends) {
+			ends, recent = without(ends, other.ends), without(recent, other.ends)
+		}
+	}
+	if len(ends) == 0 {
+		return false
+	}
+	n := distinctEnds(ends)
+	explained := float64(n) / float64(max(distinctEnds(recent), 1))
+	if n >= manyEnds && explained >= manyEndsExplain {
+		return true
+	}
+	severalRequests := slices.ContainsFunc(ends, func(e end) bool { return e.request != ends[0].request })
+	return !s.isPart && n >= fewEnds && severalRequests && explained >= fewEndsExplain
 }
 
 // distinctEnds counts the ends of engines, simultaneous ones once, unless a run began after the engine before had ended.
@@ -184,18 +248,13 @@
 	if s == nil || !at.After(s.acquitted) || len(s.ends) == 0 && s.convicted.IsZero() {
 		return false
 	}
-	*s = suspect{acquitted: at, lastChange: at}
+	*s = suspect{isPart: s.isPart, acquitted: at, lastChange: at}
 	return true
 }
 
 // Convict records a conviction that another router reported at a time, and that holds until another one. It reports whether it was new.
 func (l *Ledger) Convict(fp qm.Fingerprint, at, until, now time.Time) bool {
-	s := l.suspects[fp]
-	if s == nil {
-		l.makeRoom(now)
-		s = &suspect{}
-		l.suspects[fp] = s
-	}
+	s := l.suspectOf(fp, now)
 	if l.isConvicted(s, now) || !until.After(now) || !at.After(s.acquitted) {
 		return false
 	}
@@ -207,6 +266,11 @@
 	return !s.convicted.IsZero() && now.Before(s.convicted.Add(s.sentence))
 }
 
+func (l *Ledger) isConvictedFingerprint(fp qm.Fingerprint, now time.Time) bool {
+	s := l.suspects[fp]
+	return s != nil && l.isConvicted(s, now)
+}
+
 // Verdict returns what may be done with a request.
 func (l *Ledger) Verdict(fp qm.Fingerprint, now time.Time) Verdict {
 	s := l.suspects[fp]
@@ -252,20 +316,20 @@
 	return out
 }
 
-// makeRoom removes suspects without a recent change, and the oldest one if there are too many.
+// makeRoom removes suspects without a recent change, and the oldest one if there are too many, a convicted one only if all are.
 func (l *Ledger) makeRoom(now time.Time) {
 	if len(l.suspects) < maxSuspects {
 		return
 	}
 	var oldest qm.Fingerprint
-	var oldestAt time.Time
+	var oldestSuspect *suspect
 	for fp, s := range l.suspects {
 		if s.convicted.IsZero() && now.Sub(s.lastChange) > evidenceWindow {
 			delete(l.suspects, fp)
 			continue
 		}
-		if oldestAt.IsZero() || s.lastChange.Before(oldestAt) {
-			oldest, oldestAt = fp, s.lastChange
+		if oldestSuspect == nil || s.goesBefore(oldestSuspect) {
+			oldest, oldestSuspect = fp, s
 		}
 	}
 	if len(l.suspects) >= maxSuspects {
@@ -273,5 +337,13 @@
 	}
 }
 
+// goesBefore reports whether a suspect is to be forgotten before another one.
+func (s *suspect) goesBefore(other *suspect) bool {
+	if s.convicted.IsZero() != other.convicted.IsZero() {
+		return s.convicted.IsZero()
+	}
+	return s.lastChange.Before(other.lastChange)
+}
+
 // Len returns the number of requests that are remembered.
 func (l *Ledger) Len() int { return len(l.suspects) }
--- a/internal/limit/fatal/ledger_test.go
+++ b/internal/limit/fatal/ledger_test.go
@@ -4,9 +4,12 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	qm "quetzalmount.dev/quetzalmount"
 	"quetzalmount.dev/quetzalmount/internal/limit/fatal"
 )
@@ -21,7 +24,13 @@
 
 // accuse records the end of an engine that ran a request for 300 ms.
 func accuse(l *fatal.Ledger, fp qm.Fingerprint, request qm.RequestID, run fatal.EndpointRun, at time.Time) (isNew, convicted bool) {
-	return l.Accuse(fatal.Accusation{Fingerprint: fp, Request: request, Run: run, Began: at.Add(-300 * time.Millisecond), At: at})
+	isNew, fatal := accuseAll(l, []qm.Fingerprint{fp}, request, run, at)
+	return isNew, fatal == fp
+}
+
+// accuseAll is accuse for a request with the given fingerprints. It returns the fingerprint that was convicted.
+func accuseAll(l *fatal.Ledger, fps []qm.Fingerprint, request qm.RequestID, run fatal.EndpointRun, at time.Time) (bool, qm.Fingerprint) {
+	return l.Accuse(fatal.Accusation{Fingerprints: fps, Request: request, Run: run, Began: at.Add(-300 * time.Millisecond), At: at})
 }
 
 var lastRequest int
@@ -159,6 +168,100 @@
 	}
 }
 
+const (
+	commonPart qm.Fingerprint = 10 + iota
+	fatalPart
+)
+
+// TestPart guards against a part of a prompt that ends one engine after the other because the requests with it differ in the rest, and against
+// refusing the part before it in the prompt, which explains the same ends.
+func TestPart(t *testing.T) {
+	l := fatal.NewLedger()
+	for i := range 3 {
+		whole := qm.Fingerprint(100 + i)
+		_, convicted := accuseAll(l, []qm.Fingerprint{whole, commonPart, fatalPart}, newRequest(), run(i), at(time.Duration(i)*time.Second))
+		want := qm.Fingerprint(0)
+		if i == 2 {
+			want = fatalPart
+		}
+		if convicted != want {
+			t.Errorf("after %d ends: %d convicted, want %d", i+1, convicted, want)
+		}
+	}
+	for i := 3; i < 9; i++ {
+		whole := qm.Fingerprint(100 + i)
+		accuseAll(l, []qm.Fingerprint{whole, commonPart, fatalPart}, newRequest(), run(i), at(time.Duration(i)*time.Second))
+	}
+	if v := l.Verdict(commonPart, at(9*time.Second)); v == fatal.Convicted {
+		t.Error("the part before the one that ends engines is convicted by ends that the other explains")
+	}
+}
+
+// TestFirstPart guards against a part that ends engines and that is never found because other parts follow it, each in one request.
+func TestFirstPart(t *testing.T) {
+	l := fatal.NewLedger()
+	for i := range 3 {
+		fps := []qm.Fingerprint{qm.Fingerprint(100 + i), fatalPart, qm.Fingerprint(200 + i)}
+		_, convicted := accuseAll(l, fps, newRequest(), run(i), at(time.Duration(i)*time.Second))
+		if (convicted == fatalPart) != (i == 2) {
+			t.Errorf("after %d ends: %d convicted", i+1, convicted)
+		}
+	}
+}
+
+// TestCommonPart guards against refusing a part that runs on every engine, because other engines end at the same time.
+func TestCommonPart(t *testing.T) {
+	l := fatal.NewLedger()
+	for i := range 10 {
+		now := at(time.Duration(i) * time.Second)
+		fps := []qm.Fingerprint{qm.Fingerprint(100 + i), commonPart}
+		if _, convicted := accuseAll(l, fps, newRequest(), run(i), now); convicted != 0 {
+			t.Fatalf("%d convicted after %d ends", convicted, i+1)
+		}
+		if i%2 == 1 {
+			l.Acquit(commonPart, now.Add(300*time.Millisecond))
+		}
+	}
+}
+
+// TestTwoParts guards against a part that ends engines and is not found because another one does so at the same time.
+func TestTwoParts(t *testing.T) {
+	l := fatal.NewLedger()
+	var found []qm.Fingerprint
+	for i := range 12 {
+		fps := []qm.Fingerprint{qm.Fingerprint(100 + i), commonPart, fatalPart + qm.Fingerprint(i%3)}
+		if slices.Contains(found, fps[2]) {
+			continue
+		}
+		if _, convicted := accuseAll(l, fps, newRequest(), run(i), at(time.Duration(i)*500*time.Millisecond)); convicted != 0 {
+			found = append(found, convicted)
+		}
+		l.Acquit(commonPart, at(time.Duration(i)*500*time.Millisecond+100*time.Millisecond))
+	}
+	if diff := cmp.Diff([]qm.Fingerprint{fatalPart, fatalPart + 1, fatalPart + 2}, found); diff != "" {
+		t.Errorf("convicted (-want +got):\n%s", diff)
+	}
+}
+
+// TestPartLimit guards against a prompt of more parts than are remembered, and against forgetting convictions for them.
+func TestPartLimit(t *testing.T) {
+	l := fatal.NewLedger()
+	for i := range 2 {
+		accuse(l, culprit, newRequest(), run(i), at(time.Duration(i)*time.Second))
+	}
+	var fps []qm.Fingerprint
+	for i := range 10000 {
+		fps = append(fps, qm.Fingerprint(1000+i))
+	}
+	accuseAll(l, fps, newRequest(), run(3), at(3*time.Second))
+	if n := l.Len(); n > 4096 {
+		t.Errorf("%d suspects are remembered", n)
+	}
+	if v := l.Verdict(culprit, at(3*time.Second)); v != fatal.Convicted {
+		t.Errorf("verdict %v of a convicted request after many others were accused", v)
+	}
+}
+
 // event is an event of a simulated fleet.
 type event struct {
 	at time.Duration
@@ -247,7 +350,8 @@
 			continue
 		}
 		a.done = true
-		if _, convicted := c.ledger.Accuse(fatal.Accusation{Fingerprint: a.fp, Request: a.request, Run: r, Began: at(a.began), At: at(c.now)}); convicted {
+		accusation := fatal.Accusation{Fingerprints: []qm.Fingerprint{a.fp}, Request: a.request, Run: r, Began: at(a.began), At: at(c.now)}
+		if _, convicted := c.ledger.Accuse(accusation); convicted != 0 {
 			c.stop(a.fp)
 			if a.fp != culprit {
 				c.wrong = append(c.wrong, a.fp)
--- a/internal/limit/fatal/tracker.go
+++ b/internal/limit/fatal/tracker.go
@@ -45,8 +45,9 @@
 
 // Report is an observation of a request that routers pass on to each other.
 type Report struct {
-	Kind        ReportKind
-	Fingerprint qm.Fingerprint
+	Kind ReportKind
+	// Fingerprints are those of the request, the whole request first; for ReportConvicted the convicted one alone.
+	Fingerprints []qm.Fingerprint
 	// Run, Request and Ran, the time for which the request had run, are set for ReportEnded, For for ReportConvicted.
 	Run     EndpointRun
 	Request qm.RequestID
@@ -134,55 +135,55 @@
 
 // Run is a run of a request at an engine.
 type Run struct {
-	tracker     *Tracker
-	fingerprint qm.Fingerprint
-	request     qm.RequestID
-	endpoint    *qm.Endpoint
-	began       time.Time
-	stop        context.CancelCauseFunc
+	tracker      *Tracker
+	fingerprints []qm.Fingerprint
+	request      qm.RequestID
+	endpoint     *qm.Endpoint
+	began        time.Time
+	stop         context.CancelCauseFunc
 }
 
-// Begin returns a run of a request at an engine, and false if the request must not run. stop is called if it is convicted meanwhile. A
-// request without a fingerprint may always run.
+// Begin returns a run of a request at an engine, and the fingerprint for which it must not run, 0 if it may. stop is called if it is
+// convicted meanwhile. A request without fingerprints may always run.
 func (t *Tracker) Begin(
-	fp qm.Fingerprint, request qm.RequestID, e *qm.Endpoint, stop context.CancelCauseFunc,
-) (*Run, bool) {
-	r := &Run{tracker: t, fingerprint: fp, request: request, endpoint: e, began: time.Now(), stop: stop}
-	if fp == 0 {
-		return r, true
-	}
+	fps []qm.Fingerprint, request qm.RequestID, e *qm.Endpoint, stop context.CancelCauseFunc,
+) (*Run, qm.Fingerprint) {
 	now := time.Now()
+	r := &Run{tracker: t, fingerprints: fps, request: request, endpoint: e, began: now, stop: stop}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.mayRun(fp, now) {
-		return nil, false
-	}
-	if t.ledger.Verdict(fp, now) == OnTrial {
-		t.ledger.BeginTest(fp, now)
-		t.opts.Log.Info("convicted request runs as a test", logs.Fingerprint, formatFingerprint(fp), logs.Endpoint, e.ID)
+	if fp := t.refused(fps, now); fp != 0 {
+		return nil, fp
 	}
-	if t.running[fp] == nil {
-		t.running[fp] = make(map[*Run]bool)
+	for _, fp := range fps {
+		if t.ledger.Verdict(fp, now) == OnTrial {
+			t.ledger.BeginTest(fp, now)
+			t.opts.Log.Info("convicted request runs as a test", logs.Fingerprint, formatFingerprint(fp), logs.Endpoint, e.ID)
+		}
+		if t.running[fp] == nil {
+			t.running[fp] = make(map[*Run]bool)
+		}
+		t.running[fp][r] = true
 	}
-	t.running[fp][r] = true
-	return r, true
+	return r, 0
 }
 
-// MayRun reports whether a request may run.
-func (t *Tracker) MayRun(fp qm.Fingerprint) bool {
+// Refused returns the fingerprint for which a request must not run, 0 if it may.
+func (t *Tracker) Refused(fps []qm.Fingerprint) qm.Fingerprint {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.mayRun(fp, time.Now())
+	return t.refused(fps, time.Now())
 }
 
-func (t *Tracker) mayRun(fp qm.Fingerprint, now time.Time) bool {
-	switch t.ledger.Verdict(fp, now) {
-	case Convicted:
-		return false
-	case OnTrial:
-		return t.opts.IsFirst(fp)
+// refused implements Refused. The caller holds t.mu.
+func (t *Tracker) refused(fps []qm.Fingerprint, now time.Time) qm.Fingerprint {
+	for _, fp := range fps {
+		switch v := t.ledger.Verdict(fp, now); {
+		case v == Convicted, v == OnTrial && !t.opts.IsFirst(fp):
+			return fp
+		}
 	}
-	return true
+	return 0
 }
 
 // Completed records that the engine ran the request to its end.
@@ -191,18 +192,29 @@
 	t.mu.Lock()
 	r.remove()
 	now := time.Now()
-	acquitted := r.fingerprint != 0 && t.ledger.Acquit(r.fingerprint, now)
-	if acquitted {
-		t.queue(Report{Kind: ReportCompleted, Fingerprint: r.fingerprint}, now)
-		t.opts.Scope.Tagged(map[string]string{"kind": ReportCompleted.String()}).Counter("request_reports").Inc(1)
+	acquitted := t.acquit(r.fingerprints, now)
+	if len(acquitted) > 0 {
+		t.queue(Report{Kind: ReportCompleted, Fingerprints: acquitted}, now)
+		t.count(ReportCompleted)
 	}
 	t.mu.Unlock()
-	if acquitted {
-		t.opts.Log.Info("accused request completed", logs.Fingerprint, formatFingerprint(r.fingerprint), logs.Endpoint, r.endpoint.ID)
+	if len(acquitted) > 0 {
+		t.opts.Log.Info("accused request completed", logs.Fingerprint, formatFingerprints(acquitted), logs.Endpoint, r.endpoint.ID)
 		t.opts.Announce()
 	}
 }
 
+// acquit acquits fingerprints and returns those that were accused or convicted. The caller holds t.mu.
+func (t *Tracker) acquit(fps []qm.Fingerprint, at time.Time) []qm.Fingerprint {
+	var acquitted []qm.Fingerprint
+	for _, fp := range fps {
+		if t.ledger.Acquit(fp, at) {
+			acquitted = append(acquitted, fp)
+		}
+	}
+	return acquitted
+}
+
 // Abandoned records that the run ended without a result that says something about the engine.
 func (r *Run) Abandoned() {
 	r.tracker.mu.Lock()
@@ -217,7 +229,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r.remove()
-	if r.fingerprint == 0 || t.ctx.Err() != nil {
+	if len(r.fingerprints) == 0 || t.ctx.Err() != nil {
 		return
 	}
 	if r.endpoint.State != qm.Live {
@@ -237,10 +249,12 @@
 
 // remove removes the run from those in progress. The caller holds the tracker's lock.
 func (r *Run) remove() {
-	runs := r.tracker.running[r.fingerprint]
-	delete(runs, r)
-	if len(runs) == 0 {
-		delete(r.tracker.running, r.fingerprint)
+	for _, fp := range r.fingerprints {
+		runs := r.tracker.running[fp]
+		delete(runs, r)
+		if len(runs) == 0 {
+			delete(r.tracker.running, fp)
+		}
 	}
 }
 
@@ -272,14 +286,14 @@
 	t.opts.Log.Info("engine ended while it ran requests", logs.Endpoint, e.ID, "Incarnation", run.Incarnation, "Address", e.Address,
 		"Requests", requests, "Fingerprints", fingerprints)
 	for _, r := range accused {
-		t.apply(Report{Kind: ReportEnded, Fingerprint: r.fingerprint, Request: r.request, Run: run, Ran: at.Sub(r.began)}, at)
+		t.apply(Report{Kind: ReportEnded, Fingerprints: r.fingerprints, Request: r.request, Run: run, Ran: at.Sub(r.began)}, at)
 	}
 	t.opts.Announce()
 }
 
 // ApplyReport applies a report of another router and reports whether it was new.
 func (t *Tracker) ApplyReport(r Report) bool {
-	if r.Age > maxReportAge || r.Fingerprint == 0 {
+	if r.Age > maxReportAge || len(r.Fingerprints) == 0 {
 		return false
 	}
 	return t.apply(r, time.Now().Add(-r.Age))
@@ -290,25 +304,27 @@
 	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	isNew, convicted := false, false
+	var isNew bool
+	var convicted qm.Fingerprint
 	switch r.Kind {
 	case ReportEnded:
 		isNew, convicted = t.ledger.Accuse(Accusation{
-			Fingerprint: r.Fingerprint, Request: r.Request, Run: r.Run, Began: at.Add(-r.Ran), At: at,
+			Fingerprints: r.Fingerprints, Request: r.Request, Run: r.Run, Began: at.Add(-r.Ran), At: at,
 		})
 	case ReportCompleted:
-		isNew = t.ledger.Acquit(r.Fingerprint, at)
+		isNew = len(t.acquit(r.Fingerprints, at)) > 0
 	case ReportConvicted:
-		isNew = t.ledger.Convict(r.Fingerprint, at, at.Add(r.For), now)
-		convicted = isNew
+		if isNew = t.ledger.Convict(r.Fingerprints[0], at, at.Add(r.For), now); isNew {
+			convicted = r.Fingerprints[0]
+		}
 	}
 	if isNew {
 		t.queue(r, at)
-		t.opts.Scope.Tagged(map[string]string{"kind": r.Kind.String()}).Counter("request_reports").Inc(1)
+		t.count(r.Kind)
 	}
-	if convicted {
-		stopped := t.running[r.Fingerprint]
-		t.opts.Log.Info("request convicted", logs.Fingerprint, formatFingerprint(r.Fingerprint), logs.Endpoint, r.Run.Endpoint,
+	if convicted != 0 {
+		stopped := t.running[convicted]
+		t.opts.Log.Info("request convicted", logs.Fingerprint, formatFingerprint(convicted), logs.Endpoint, r.Run.Endpoint,
 			"Incarnation", r.Run.Incarnation, "Stopped", len(stopped))
 		for run := range stopped {
 			run.stop(ErrConvicted)
@@ -317,6 +333,11 @@
 	return isNew
 }
 
+// count counts a report that was new.
+func (t *Tracker) count(k ReportKind) {
+	t.opts.Scope.Tagged(map[string]string{"kind": k.String()}).Counter("request_reports").Inc(1)
+}
+
 // queue queues a report for other routers. The caller holds t.mu.
 func (t *Tracker) queue(r Report, at time.Time) {
 	t.reports = append(t.reports, timedReport{r, at})
@@ -347,7 +368,7 @@
 	for _, c := range convictions {
 		if t.opts.IsFirst(c.Fingerprint) {
 			n++
-			t.queue(Report{Kind: ReportConvicted, Fingerprint: c.Fingerprint, For: c.Until.Sub(now)}, now)
+			t.queue(Report{Kind: ReportConvicted, Fingerprints: []qm.Fingerprint{c.Fingerprint}, For: c.Until.Sub(now)}, now)
 		}
 	}
 	t.mu.Unlock()
@@ -376,10 +397,18 @@
 
 func formatFingerprint(fp qm.Fingerprint) string { return strconv.FormatUint(uint64(fp), 16) }
 
+func formatFingerprints(fps []qm.Fingerprint) []string {
+	out := make([]string, 0, len(fps))
+	for _, fp := range fps {
+		out = append(out, formatFingerprint(fp))
+	}
+	return out
+}
+
 // identify returns the requests and the fingerprints of runs, for the log.
-func identify(runs []*Run) (requests []qm.RequestID, fingerprints []string) {
+func identify(runs []*Run) (requests []qm.RequestID, fingerprints [][]string) {
 	for _, r := range runs {
-		requests, fingerprints = append(requests, r.request), append(fingerprints, formatFingerprint(r.fingerprint))
+		requests, fingerprints = append(requests, r.request), append(fingerprints, formatFingerprints(r.fingerprints))
 	}
 	return requests, fingerprints
 }
--- a/internal/limit/fatal/tracker_test.go
+++ b/internal/limit/fatal/tracker_test.go
@@ -43,7 +43,8 @@
 }
 
 func (r *routers) begin(router int, fp qm.Fingerprint, engine qm.EndpointID) (*fatal.Run, bool) {
-	return r.trackers[router].Begin(fp, newRequest(), r.engines[engine], func(error) { r.stopped++ })
+	run, refused := r.trackers[router].Begin([]qm.Fingerprint{fp}, newRequest(), r.engines[engine], func(error) { r.stopped++ })
+	return run, refused == 0
 }
 
 // end lets the runs of an engine be interrupted because its process ended.
@@ -81,7 +82,7 @@
 func (r *routers) mayRun(fp qm.Fingerprint) []bool {
 	var out []bool
 	for _, tr := range r.trackers {
-		out = append(out, tr.MayRun(fp))
+		out = append(out, tr.Refused([]qm.Fingerprint{fp}) == 0)
 	}
 	return out
 }
@@ -155,7 +156,7 @@
 					r.interrupt(run)
 					time.Sleep(time.Second)
 				}
-				if !r.trackers[0].MayRun(culprit) {
+				if r.trackers[0].Refused([]qm.Fingerprint{culprit}) != 0 {
 					t.Error("the request was convicted")
 				}
 			})
@@ -173,7 +174,7 @@
 		}
 		time.Sleep(3 * time.Second)
 		got := r.trackers[0].TakeReports()
-		want := []fatal.Report{{Kind: fatal.ReportConvicted, Fingerprint: culprit, For: 27 * time.Second}}
+		want := []fatal.Report{{Kind: fatal.ReportConvicted, Fingerprints: []qm.Fingerprint{culprit}, For: 27 * time.Second}}
 		if diff := cmp.Diff(want, got[max(0, len(got)-1):], cmpopts.IgnoreFields(fatal.Report{}, "Age", "For")); diff != "" {
 			t.Errorf("the last report (-want +got):\n%s", diff)
 		}
--- a/internal/member/peer/outbox.go
+++ b/internal/member/peer/outbox.go
@@ -82,7 +82,7 @@
 // reportKey returns the key of a report. All ends of engines that a request is accused of are passed on, and the newest report of another
 // kind.
 func reportKey(r fatal.Report) string {
-	return fmt.Sprintf("%x %d %s %s", uint64(r.Fingerprint), r.Kind, r.Run.Endpoint, r.Run.Incarnation)
+	return fmt.Sprintf("%x %d %s %s", r.Fingerprints, r.Kind, r.Run.Endpoint, r.Run.Incarnation)
 }
 
 // takeReports returns the reports for one message.
@@ -105,8 +105,12 @@
 }
 
 func reportToWire(r fatal.Report) *peerpb.RequestReport {
+	var fps []uint64
+	for _, fp := range r.Fingerprints {
+		fps = append(fps, uint64(fp))
+	}
 	return &peerpb.RequestReport{
-		Fingerprint: uint64(r.Fingerprint), Kind: kindsOfReports[r.Kind], AgeMs: r.Age.Milliseconds(), ForMs: r.For.Milliseconds(),
+		Fingerprint: fps[0], Parts: fps[1:], Kind: kindsOfReports[r.Kind], AgeMs: r.Age.Milliseconds(), ForMs: r.For.Milliseconds(),
 		Endpoint: string(r.Run.Endpoint), Incarnation: string(r.Run.Incarnation), Request: string(r.Request),
 		RanMs: r.Ran.Milliseconds(),
 	}
@@ -115,11 +119,14 @@
 // reportFromWire returns a report with kind 0 if the wire's kind is unknown.
 func reportFromWire(w *peerpb.RequestReport) fatal.Report {
 	r := fatal.Report{
-		Fingerprint: qm.Fingerprint(w.GetFingerprint()), Age: time.Duration(w.GetAgeMs()) * time.Millisecond,
+		Fingerprints: []qm.Fingerprint{qm.Fingerprint(w.GetFingerprint())}, Age: time.Duration(w.GetAgeMs()) * time.Millisecond,
 		For: time.Duration(w.GetForMs()) * time.Millisecond, Request: qm.RequestID(w.GetRequest()),
 		Ran: time.Duration(w.GetRanMs()) * time.Millisecond,
 		Run: fatal.EndpointRun{Endpoint: qm.EndpointID(w.GetEndpoint()), Incarnation: qm.Incarnation(w.GetIncarnation())},
 	}
+	for _, fp := range w.GetParts() {
+		r.Fingerprints = append(r.Fingerprints, qm.Fingerprint(fp))
+	}
 	for k, wire := range kindsOfReports {
 		if wire == w.GetKind() {
 			r.Kind = k
--- a/internal/route/exchg/exchg.go
+++ b/internal/route/exchg/exchg.go
@@ -88,7 +88,7 @@
 	r.deps.RetryBudget.RecordRequest(x.Group, x.Received)
 	t := &task{runner: r, x: x, writer: w, lastEvent: x.LastEventID}
 	if r.deps.Fatal != nil {
-		t.fingerprint = x.Fingerprint()
+		t.fingerprints = x.Fingerprints()
 	}
 	err := t.runAttempts(ctx)
 	r.recordOutcome(x, t, err)
@@ -109,8 +109,8 @@
 	runner *Runner
 	x      *qm.Exchange
 	writer Writer
-	// fingerprint is that of the exchange, 0 if fatal requests are not recognised.
-	fingerprint qm.Fingerprint
+	// fingerprints are those of the exchange, nil if fatal requests are not recognised.
+	fingerprints []qm.Fingerprint
 	// lastEvent is the ID of the last event that was delivered.
 	lastEvent string
 	// started is true once the head of a streamed response was written.
@@ -280,9 +280,9 @@
 	if t.runner.deps.Fatal == nil {
 		return func(context.Context, error) {}, nil
 	}
-	run, ok := t.runner.deps.Fatal.Begin(t.fingerprint, t.x.Request, p.placement.Endpoint, stop)
-	if !ok {
-		return nil, t.fatalError()
+	run, refused := t.runner.deps.Fatal.Begin(t.fingerprints, t.x.Request, p.placement.Endpoint, stop)
+	if refused != 0 {
+		return nil, t.fatalError(refused)
 	}
 	return func(ctx context.Context, err error) {
 		switch {
@@ -297,8 +297,12 @@
 }
 
 // fatalError returns the refusal of an exchange that must not run.
-func (t *task) fatalError() error {
-	return qm.Refuse(qm.CodeFatalRequest, "admit", "equal requests ended the engines that ran them; the request %x is refused", uint64(t.fingerprint))
+func (t *task) fatalError(fp qm.Fingerprint) error {
+	what := "equal requests"
+	if fp != t.fingerprints[0] {
+		what = "requests with the same part of a prompt"
+	}
+	return qm.Refuse(qm.CodeFatalRequest, "admit", "%s ended the engines that ran them; %x is refused", what, uint64(fp))
 }
 
 // timeoutError returns a timeout error in place of an err that is only the effect of the attempt's context being cancelled. It returns
@@ -399,8 +403,10 @@
 // placeAttempt selects the endpoint of the next attempt and registers the attempt with placement and health. It refuses the exchange if
 // no endpoint is available or if the first token is expected too late.
 func (t *task) placeAttempt() (*placedAttempt, error) {
-	if t.runner.deps.Fatal != nil && !t.runner.deps.Fatal.MayRun(t.fingerprint) {
-		return nil, t.fatalError()
+	if t.runner.deps.Fatal != nil {
+		if fp := t.runner.deps.Fatal.Refused(t.fingerprints); fp != 0 {
+			return nil, t.fatalError(fp)
+		}
 	}
 	now := time.Now()
 	rnd := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
--- a/internal/route/exchg/fatal_test.go
+++ b/internal/route/exchg/fatal_test.go
@@ -86,7 +86,7 @@
 		}
 		go func() {
 			time.Sleep(time.Second)
-			deps.Fatal.ApplyReport(fatal.Report{Kind: fatal.ReportConvicted, Fingerprint: x.Fingerprint(), For: time.Minute})
+			deps.Fatal.ApplyReport(fatal.Report{Kind: fatal.ReportConvicted, Fingerprints: x.Fingerprints(), For: time.Minute})
 		}()
 		if err := exchg.New(deps).Run(t.Context(), x, &recorder{}); err == nil || time.Since(now) > 2*time.Second {
 			t.Errorf("the run of a convicted request ended after %v with error %v", time.Since(now), err)
