Flush an event before the rest of the next one has arrived

What callers saw: an event that the router had received whole reached them only with the next one, if that one had begun to arrive; if the engine broke off there, only after the stream was resumed elsewhere. Cause: WriteEvents flushed only if nothing further was buffered. It flushes now unless a whole further event is.

--- a/internal/route/exchg/events.go
+++ b/internal/route/exchg/events.go
@@ -60,8 +60,11 @@
 	}
 }
 
-// buffered reports whether further bytes were received already.
-func (e *eventReader) buffered() bool { return e.r.Buffered() > 0 }
+// hasNext reports whether a further whole event was received already.
+func (e *eventReader) hasNext() bool {
+	received, _ := e.r.Peek(e.r.Buffered())
+	return bytes.Contains(received, []byte("\n\n")) || bytes.Contains(received, []byte("\n\r\n"))
+}
 
 // hasNumber reports whether an event ID is a number. All events of a response that can be resumed have one; a text that an endpoint sends
 // in place of the rest of the stream has none.
--- a/internal/route/exchg/exchg.go
+++ b/internal/route/exchg/exchg.go
@@ -34,7 +34,7 @@
 	// WriteComplete writes a complete response.
 	WriteComplete(resp *qm.Response, body []byte) error
 	// BeginStream writes the head of a streamed response, WriteEvents one or more whole events, and EndStream the end of the response.
-	// flush is true if no further event has been received yet.
+	// flush is true if no further whole event has been received yet.
 	BeginStream(resp *qm.Response) error
 	WriteEvents(raw []byte, flush bool) error
 	EndStream() error
@@ -391,7 +391,7 @@
 		if alreadyDelivered(id, t.lastEvent) {
 			continue
 		}
-		if err := t.writer.WriteEvents(raw, !events.buffered()); err != nil {
+		if err := t.writer.WriteEvents(raw, !events.hasNext()); err != nil {
 			return errors.WithMessage(errCallerLeft, err.Error())
 		}
 		if id != "" {
