Do not refuse the part before a bad one because a report is late

Cause: when the bad part was convicted by three ends, the part before it had the same three. A bystander with it ran on the fourth engine, and its report came before that of the request that ended the engine: four ends are more than three, so that it was convicted too. Change: a part that shares ends with a convicted suspect needs two more that none explains. TestLateReport failed before.

--- a/internal/limit/fatal/ledger.go
+++ b/internal/limit/fatal/ledger.go
@@ -34,6 +34,8 @@
 	fewEndsExplain  = 0.6
 	manyEnds        = 3
 	manyEndsExplain = 0.35
+	// minUnexplained is the number of ends that no convicted suspect explains, from which a part that shares others with one is convicted.
+	minUnexplained = 2
 	// minSentence is how long a convicted request is refused before a single run is allowed as a test. It doubles with each further
 	// conviction, up to maxSentence.
 	minSentence = 30 * time.Second
@@ -203,13 +205,18 @@
 			recent = append(recent, e)
 		}
 	}
-	ends := s.ends
+	ends, unexplained := s.ends, s.ends
 	for _, other := range l.suspects {
-		if other != s && l.isConvicted(other, now) && len(other.ends) >= len(s.ends) {
+		if other == s || !l.isConvicted(other, now) {
+			continue
+		}
+		unexplained = without(unexplained, other.ends)
+		if len(other.ends) >= len(s.ends) {
 			ends, recent = without(ends, other.ends), without(recent, other.ends)
 		}
 	}
-	if len(ends) == 0 {
+	// A part may come with a convicted one in each request. A single end more may be that one's too, if its report is still on the way.
+	if len(ends) == 0 || s.isPart && len(unexplained) < min(len(s.ends), minUnexplained) {
 		return false
 	}
 	n := distinctEnds(ends)
--- a/internal/limit/fatal/ledger_test.go
+++ b/internal/limit/fatal/ledger_test.go
@@ -197,6 +197,26 @@
 	}
 }
 
+// TestLateReport guards against refusing the part before one that ends engines, because the report of a bystander with it arrives before that
+// of the request that ended the engine of both.
+func TestLateReport(t *testing.T) {
+	l := fatal.NewLedger()
+	for i := range 3 {
+		fps := []qm.Fingerprint{qm.Fingerprint(100 + i), commonPart, fatalPart}
+		accuseAll(l, fps, newRequest(), run(i), at(time.Duration(i)*time.Second))
+	}
+	if _, convicted := accuseAll(l, []qm.Fingerprint{200, commonPart, 300}, newRequest(), run(3), at(3*time.Second)); convicted != 0 {
+		t.Errorf("%d convicted by a bystander's report", convicted)
+	}
+	accuseAll(l, []qm.Fingerprint{103, commonPart, fatalPart}, newRequest(), run(3), at(3*time.Second))
+	for i := range 2 {
+		_, convicted := accuseAll(l, []qm.Fingerprint{qm.Fingerprint(201 + i), commonPart, qm.Fingerprint(301 + i)}, newRequest(), run(4+i), at(time.Duration(4+i)*time.Second))
+		if (convicted == commonPart) != (i == 1) {
+			t.Errorf("after %d ends without the other part: %d convicted", i+1, convicted)
+		}
+	}
+}
+
 // TestFirstPart guards against a part that ends engines and that is never found because other parts follow it, each in one request.
 func TestFirstPart(t *testing.T) {
 	l := fatal.NewLedger()
