Acquit requests by successful answers only

What callers see: a request or part that ends engines is sent on if engines answer it with an error in between. Cause: any whole answer counted as a run to its end, also a status of 400 or 500 from an engine that fails part of its requests or rejects them before it runs them. Now a status below 300 does. TestErrorAcquitsNobody failed before.

--- a/internal/route/exchg/exchg.go
+++ b/internal/route/exchg/exchg.go
@@ -252,7 +252,8 @@
 	if err != nil {
 		return err
 	}
-	defer func() { end(ctx, err) }()
+	answered := false
+	defer func() { end(ctx, answered, err) }()
 	stall := newStallTimer(cancel)
 	defer stall.stop()
 	stall.reset(stallTimeout(t.x, t.counts, false, p.placement.ExpectedTTFT, time.Until(t.x.EffectiveDeadline)))
@@ -265,6 +266,7 @@
 		return t.timeoutError(ctx, p, err)
 	}
 	defer func() { _ = a.Body.Close() }()
+	answered = a.Status < 300
 	t.observeVersion(p, a)
 	if t.x.Route.Kind.IsStreamed() && a.Status < 300 {
 		err = t.relayEvents(p, a, stall)
@@ -275,20 +277,20 @@
 }
 
 // beginRun registers a run of the exchange with Deps.Fatal, which calls stop if the request must not run any more. The returned function
-// ends the run; its error is that of the attempt.
-func (t *task) beginRun(p *placedAttempt, stop context.CancelCauseFunc) (end func(context.Context, error), err error) {
+// ends the run; answered is set if the endpoint answered with success, and its error is that of the attempt.
+func (t *task) beginRun(p *placedAttempt, stop context.CancelCauseFunc) (end func(ctx context.Context, answered bool, err error), err error) {
 	if t.runner.deps.Fatal == nil {
-		return func(context.Context, error) {}, nil
+		return func(context.Context, bool, error) {}, nil
 	}
 	run, refused := t.runner.deps.Fatal.Begin(t.fingerprints, t.x.Request, p.placement.Endpoint, stop)
 	if refused != 0 {
 		return nil, t.fatalError(refused)
 	}
-	return func(ctx context.Context, err error) {
+	return func(ctx context.Context, answered bool, err error) {
 		switch {
-		case err == nil:
+		case err == nil && answered:
 			run.Completed()
-		case ctx.Err() == nil && qm.AsError(err).Code == qm.CodeEndpointFailed && qm.AsError(err).Outcome != qm.OutcomeNotRun:
+		case err != nil && ctx.Err() == nil && qm.AsError(err).Code == qm.CodeEndpointFailed && qm.AsError(err).Outcome != qm.OutcomeNotRun:
 			run.Interrupted()
 		default:
 			run.Abandoned()
--- a/internal/route/exchg/fatal_test.go
+++ b/internal/route/exchg/fatal_test.go
@@ -21,11 +21,27 @@
 	"quetzalmount.dev/quetzalmount/internal/route/exchg"
 )
 
-// fatalClient ends the engine that runs the request with body "poison" for 200 ms and answers all others.
+// fatalClient ends the engine that runs the request with body "poison" for 200 ms and answers all others. If status is not 0, all are
+// answered with it.
 type fatalClient struct {
-	mu    sync.Mutex
-	ended map[qm.EndpointID]bool
-	sent  int
+	mu     sync.Mutex
+	ended  map[qm.EndpointID]bool
+	sent   int
+	status int
+}
+
+// newFatalTracker returns a tracker of the requests to the engines of client.
+func newFatalTracker(t *testing.T, client *fatalClient) *fatal.Tracker {
+	return fatal.New(t.Context(), fatal.Options{
+		Probe: func(_ context.Context, e *qm.Endpoint) error {
+			if client.hasEnded(e.ID) {
+				return syscall.ECONNREFUSED
+			}
+			return nil
+		},
+		Lookup:  func(id qm.EndpointID) *qm.Endpoint { return &qm.Endpoint{ID: id, State: qm.Live} },
+		IsFirst: func(qm.Fingerprint) bool { return true }, Announce: func() {}, Log: testr.New(t),
+	})
 }
 
 func (c *fatalClient) hasEnded(id qm.EndpointID) bool {
@@ -39,6 +55,9 @@
 		return nil, qm.Refuse(qm.CodeEndpointUnreached, "connect", "connection refused")
 	}
 	c.sent++
+	if c.status != 0 {
+		return &qm.Response{Status: c.status, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("error"))}, nil
+	}
 	if string(x.Body) == "poison" {
 		select {
 		case <-ctx.Done():
@@ -104,16 +123,7 @@
 		client := &fatalClient{ended: map[qm.EndpointID]bool{}}
 		deps := newDeps(t, nil)
 		deps.Client = client
-		deps.Fatal = fatal.New(t.Context(), fatal.Options{
-			Probe: func(_ context.Context, e *qm.Endpoint) error {
-				if client.hasEnded(e.ID) {
-					return syscall.ECONNREFUSED
-				}
-				return nil
-			},
-			Lookup:  func(id qm.EndpointID) *qm.Endpoint { return &qm.Endpoint{ID: id, State: qm.Live} },
-			IsFirst: func(qm.Fingerprint) bool { return true }, Announce: func() {}, Log: testr.New(t),
-		})
+		deps.Fatal = newFatalTracker(t, client)
 		defer deps.Fatal.Close()
 		runner := exchg.New(deps)
 		send := func(body string) error {
@@ -144,3 +154,35 @@
 		}
 	})
 }
+
+// TestErrorAcquitsNobody guards against a request that ends engines and is cleared again and again because other engines answer it with an error
+// before they run it.
+func TestErrorAcquitsNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client := &fatalClient{ended: map[qm.EndpointID]bool{}}
+		deps := newDeps(t, nil)
+		deps.Client = client
+		deps.Fatal = newFatalTracker(t, client)
+		defer deps.Fatal.Close()
+		runner := exchg.New(deps)
+		send := func(n int) error {
+			time.Sleep(time.Second)
+			now := time.Now()
+			return runner.Run(t.Context(), &qm.Exchange{
+				Request: qm.RequestID(fmt.Sprint(n)), Route: &qm.Route{ID: "r", Kind: qm.NonIdempotent, MaxAttempts: 1}, Group: "g", Team: "t", Method: "POST",
+				Target: &url.URL{Path: "/a"}, Body: []byte("poison"), Received: now, CallerDeadline: now.Add(time.Minute), EffectiveDeadline: now.Add(time.Minute),
+			}, &recorder{})
+		}
+		for n := range 2 {
+			client.status = 0
+			if err := send(2 * n); err == nil {
+				t.Fatal("a request that ends engines was answered")
+			}
+			client.status = http.StatusInternalServerError
+			err := send(2*n + 1)
+			if isRefused := err != nil && qm.AsError(err).Code == qm.CodeFatalRequest; isRefused != (n == 1) {
+				t.Errorf("after %d ends and an error each: %v", n+1, err)
+			}
+		}
+	})
+}
