Accuse requests that end engines which were suspect

What callers see: in a series of ends, requests with what ends engines run on engines that have just failed at this router, and these ends count against nobody. Cause: Interrupted ignored all engines that were not Live when the request was sent, meant for those that load weights or leave. An engine that loads weights keeps its listener, so that the probe clears it; only leaving ones are left out now. TestSuspectEngine failed before.

--- a/internal/limit/fatal/tracker.go
+++ b/internal/limit/fatal/tracker.go
@@ -232,9 +232,8 @@
 	if len(r.fingerprints) == 0 || t.ctx.Err() != nil {
 		return
 	}
-	if r.endpoint.State != qm.Live {
-		// An engine that loads weights or leaves interrupts its requests on purpose.
-		t.logNotAccused([]*Run{r}, "the engine was "+string(r.endpoint.State))
+	if r.endpoint.State == qm.Leaving {
+		t.logNotAccused([]*Run{r}, "the engine was leaving")
 		return
 	}
 	run := EndpointRun{r.endpoint.ID, r.endpoint.Incarnation}
--- a/internal/route/exchg/fatal_test.go
+++ b/internal/route/exchg/fatal_test.go
@@ -186,3 +186,35 @@
 		}
 	})
 }
+
+// TestSuspectEngine guards against a request that ends engines and is never accused because it ran on engines that had failed shortly before.
+func TestSuspectEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client := &fatalClient{ended: map[qm.EndpointID]bool{}}
+		deps := newDeps(t, nil)
+		deps.Client = client
+		var suspect qm.Endpoints
+		all, _ := deps.Board.Endpoints.Load()
+		for _, e := range all {
+			s := *e
+			s.State = qm.Suspect
+			suspect = append(suspect, &s)
+		}
+		deps.Board.Endpoints.Store(suspect)
+		deps.Fatal = newFatalTracker(t, client)
+		defer deps.Fatal.Close()
+		runner := exchg.New(deps)
+		var err error
+		for n := range 3 {
+			time.Sleep(time.Second)
+			now := time.Now()
+			err = runner.Run(t.Context(), &qm.Exchange{
+				Request: qm.RequestID(fmt.Sprint(n)), Route: &qm.Route{ID: "r", Kind: qm.NonIdempotent, MaxAttempts: 1}, Group: "g", Team: "t", Method: "POST",
+				Target: &url.URL{Path: "/a"}, Body: []byte("poison"), Received: now, CallerDeadline: now.Add(time.Minute), EffectiveDeadline: now.Add(time.Minute),
+			}, &recorder{})
+		}
+		if err == nil || qm.AsError(err).Code != qm.CodeFatalRequest {
+			t.Errorf("after %d ends of suspect engines: %v, want a refusal", len(client.ended), err)
+		}
+	})
+}
