Answer open requests before a planned stop ends

It could happen here: a call is taken if 500 ms are left, whatever its route's objective is, and http.Server.Close cuts what is still open. Change: the time that a plain call needs is estimated from its route's objective too, so that later ones are refused as not run, and what is still open 100 ms before the end is cancelled and answered, 502 if an engine may have run it, 503 if not. A stream that has begun is still cut.

--- a/internal/entry/opaque/opaque.go
+++ b/internal/entry/opaque/opaque.go
@@ -54,6 +54,8 @@
 	Runner Runner
 	// StopTime returns the time by which this router stops, false if it is not stopping.
 	StopTime func() (time.Time, bool)
+	// Stopping is done when open requests must be answered because the process ends; nil for never.
+	Stopping context.Context
 	Log      logr.Logger
 }
 
@@ -98,8 +100,13 @@
 		h.refuse(w, r, qm.AsError(err), true)
 		return
 	}
+	ctx, cancel := context.WithCancelCause(r.Context())
+	defer cancel(nil)
+	if h.deps.Stopping != nil {
+		defer context.AfterFunc(h.deps.Stopping, func() { cancel(exchg.ErrStopping) })()
+	}
 	rw := &responseWriter{handler: h, inner: w, control: http.NewResponseController(w)}
-	err = h.deps.Runner.Run(r.Context(), x, rw)
+	err = h.deps.Runner.Run(ctx, x, rw)
 	switch {
 	case err == nil:
 	case rw.started || errors.Is(err, exchg.ErrIncomplete):
--- a/internal/route/exchg/decide.go
+++ b/internal/route/exchg/decide.go
@@ -112,16 +112,19 @@
 const (
 	// interTokenTime is an upper estimate of the time between two tokens of an engine that also processes prompts.
 	interTokenTime = 30 * time.Millisecond
-	// plainResponseTime is the time within which nearly all responses of plain services are complete.
+	// plainResponseTime is the time within which nearly all responses of plain services are complete, where objectiveMultiple times the
+	// objective of their route is less.
 	plainResponseTime = 500 * time.Millisecond
+	// objectiveMultiple times the objective of a route is the time to the first event, or to the whole response, of nearly all exchanges.
+	objectiveMultiple = 2
 )
 
 // EstimateDuration returns an upper estimate of the duration of an exchange. A router that is shutting down uses it to refuse exchanges
 // that it could not finish.
 func EstimateDuration(x *qm.Exchange) time.Duration {
-	d := plainResponseTime
+	d := max(plainResponseTime, objectiveMultiple*x.Route.LatencyObjective)
 	if x.Route.Kind.IsStreamed() {
-		d = 2*x.Route.LatencyObjective + time.Duration(x.OutputTokens)*interTokenTime
+		d = objectiveMultiple*x.Route.LatencyObjective + time.Duration(x.OutputTokens)*interTokenTime
 	}
 	if x.Route.Timeout > 0 {
 		d = min(d, x.Route.Timeout)
--- a/internal/route/exchg/decide_test.go
+++ b/internal/route/exchg/decide_test.go
@@ -113,4 +113,8 @@
 	if got := EstimateDuration(plain); got != 300*time.Millisecond {
 		t.Errorf("EstimateDuration() of a plain call = %v, want its timeout", got)
 	}
+	slow := &qm.Exchange{Route: &qm.Route{Kind: qm.NonIdempotent, LatencyObjective: 1500 * time.Millisecond, Timeout: 15 * time.Second}}
+	if got := EstimateDuration(slow); got != 3*time.Second {
+		t.Errorf("EstimateDuration() of a call with an objective of 1.5 s = %v, want 3s", got)
+	}
 }
--- a/internal/route/exchg/exchg.go
+++ b/internal/route/exchg/exchg.go
@@ -98,6 +98,12 @@
 // ErrIncomplete is wrapped by errors that end a response after part of it was written.
 var ErrIncomplete = errors.New("answer is incomplete")
 
+// ErrStopping is the cause of the cancellation of exchanges that must be answered because this router ends.
+var ErrStopping = errors.New("router is stopping")
+
+// stoppingRetryAfter is the Retry-After time of an exchange that was not run because this router ends. The caller can go to another one at once.
+const stoppingRetryAfter = 10 * time.Millisecond
+
 var (
 	errDeadline   = errors.New("request deadline exceeded")
 	errStalled    = errors.New("endpoint made no progress within the stall timeout")
@@ -166,13 +172,17 @@
 // conclude ends an exchange whose last attempt failed with e. It writes the fallback response if there is one, else it returns the error
 // with the outcome over all attempts.
 func (t *task) conclude(ctx context.Context, e *qm.Error) error {
-	if t.fallback != nil && !t.started && ctx.Err() == nil {
+	stopping := errors.Is(context.Cause(ctx), ErrStopping)
+	if t.fallback != nil && !t.started && (ctx.Err() == nil || stopping) {
 		return t.writer.WriteComplete(t.fallback.response, t.fallback.body)
 	}
 	out := *e
 	switch {
 	case errors.Is(context.Cause(ctx), errDeadline):
 		out.Code = qm.CodeTimeout
+	case stopping:
+		out.Code, out.Step, out.Message = qm.CodeLeaving, "deliver", "this router stops before the answer has arrived"
+		out.RetryAfter = stoppingRetryAfter
 	case ctx.Err() != nil, errors.Is(e, errCallerLeft):
 		out.Code, out.Step, out.Message = qm.CodeCallerLeft, "deliver", "the caller disconnected before its answer was complete"
 	}
