Tell a whole response that ends with its connection from an engine that ended

The caller got a 200 with a short body and a matching length, or a stream that ended as complete; a stream of a request that ends engines even acquitted it. Cause: nothing but the end of the connection was looked at. Change: after such an end the router connects to the endpoint. If no process listens and the endpoint is listed, not leaving and not replaced, the response is broken off: a stream goes on and a call is repeated where their kinds allow it, else they fail. It costs one connection for each answer of this form, none for others.

What an engine that stays alive leaves out of an answer without length isn't seen by the router; the seal is opaque to it.

--- a/exchange.go
+++ b/exchange.go
@@ -155,6 +155,8 @@
 	Status int
 	Header http.Header
 	Body   io.ReadCloser
+	// EndsWithConnection is set if the body has neither a length nor chunks, so that its end looks like that of an engine that ended.
+	EndsWithConnection bool
 	// Version is the weights version that the endpoint reported, empty if none.
 	Version VersionID
 }
--- a/internal/client/carry/carry.go
+++ b/internal/client/carry/carry.go
@@ -126,5 +126,8 @@
 		_ = resp.Body.Close()
 		return nil, err
 	}
-	return &qm.Response{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, Version: version}, nil
+	return &qm.Response{
+		Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, Version: version,
+		EndsWithConnection: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0,
+	}, nil
 }
--- a/internal/route/exchg/exchg.go
+++ b/internal/route/exchg/exchg.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -51,6 +52,9 @@
 	Pauses *pause.Table
 	// Fatal recognises requests that end engines; nil for none.
 	Fatal *fatal.Tracker
+	// Probe connects to an endpoint. It returns an error that wraps ECONNREFUSED if no process listens there. It tells whether the endpoint
+	// of a response that ends with its connection has ended; nil if such responses are always whole.
+	Probe func(context.Context, *qm.Endpoint) error
 	// RetryBudget bounds the retries at each group of endpoints over all routers.
 	RetryBudget *retry.GroupBudget
 	Observer    Observer
@@ -108,6 +112,8 @@
 	errDeadline   = errors.New("request deadline exceeded")
 	errStalled    = errors.New("endpoint made no progress within the stall timeout")
 	errCallerLeft = errors.New("caller disconnected")
+	// errEndedWithAnswer means that an endpoint ended together with a response without length or chunks.
+	errEndedWithAnswer = errors.New("endpoint ended before it had sent the whole response")
 )
 
 // task is the state of one exchange over all its attempts.
@@ -279,7 +285,7 @@
 	answered = a.Status < 300
 	t.observeVersion(p, a)
 	if t.x.Route.Kind.IsStreamed() && a.Status < 300 {
-		err = t.relayEvents(p, a, stall)
+		err = t.relayEvents(ctx, p, a, stall)
 	} else {
 		err = t.relayComplete(ctx, p, a)
 	}
@@ -347,6 +353,9 @@
 	if err != nil {
 		return qm.Fail(qm.CodeEndpointFailed, "read body", p.placement.Endpoint.Address, err)
 	}
+	if t.isBrokenOff(ctx, p, resp) {
+		return qm.Fail(qm.CodeEndpointFailed, "read body", p.placement.Endpoint.Address, errEndedWithAnswer)
+	}
 	if t.started {
 		return qm.Fail(qm.CodeEndpointFailed, "resume", p.placement.Endpoint.Address, errors.Errorf("got status %d, want an event stream", resp.Status))
 	}
@@ -363,7 +372,7 @@
 }
 
 // relayEvents relays the events of a stream as they arrive, except those that an earlier attempt delivered.
-func (t *task) relayEvents(p *placedAttempt, resp *qm.Response, stall *stallTimer) error {
+func (t *task) relayEvents(ctx context.Context, p *placedAttempt, resp *qm.Response, stall *stallTimer) error {
 	events := newEventReader(resp.Body)
 	resumed := t.started
 	if !t.started {
@@ -376,6 +385,9 @@
 	for {
 		raw, id, err := events.next()
 		if isCleanEnd(err) {
+			if t.isBrokenOff(ctx, p, resp) {
+				return qm.Fail(qm.CodeEndpointFailed, "read events", p.placement.Endpoint.Address, errEndedWithAnswer)
+			}
 			if !gotEvent {
 				return qm.Fail(qm.CodeEndpointFailed, "read events", p.placement.Endpoint.Address, errors.New("stream ended without an event"))
 			}
@@ -412,6 +424,27 @@
 	}
 }
 
+// endedProbeTimeout limits the check whether an endpoint has ended.
+const endedProbeTimeout = 300 * time.Millisecond
+
+// isBrokenOff reports whether the end of a response, which was read without an error, is only that of its endpoint: the response has neither
+// a length nor chunks, and the endpoint's process has ended without notice.
+func (t *task) isBrokenOff(ctx context.Context, p *placedAttempt, resp *qm.Response) bool {
+	if !resp.EndsWithConnection || t.runner.deps.Probe == nil {
+		return false
+	}
+	e := p.placement.Endpoint
+	ctx, cancel := context.WithTimeout(ctx, endedProbeTimeout)
+	defer cancel()
+	if !errors.Is(t.runner.deps.Probe(ctx, e), syscall.ECONNREFUSED) {
+		return false
+	}
+	all, _ := t.runner.deps.Board.Endpoints.Load()
+	return slices.ContainsFunc(all, func(known *qm.Endpoint) bool {
+		return known.ID == e.ID && known.State != qm.Leaving && known.Incarnation == e.Incarnation
+	})
+}
+
 // placeAttempt selects the endpoint of the next attempt and registers the attempt with placement and health. It refuses the exchange if
 // no endpoint is available or if the first token is expected too late.
 func (t *task) placeAttempt() (*placedAttempt, error) {
--- a/internal/route/exchg/fatal_test.go
+++ b/internal/route/exchg/fatal_test.go
@@ -193,14 +193,7 @@
 		client := &fatalClient{ended: map[qm.EndpointID]bool{}}
 		deps := newDeps(t, nil)
 		deps.Client = client
-		var suspect qm.Endpoints
-		all, _ := deps.Board.Endpoints.Load()
-		for _, e := range all {
-			s := *e
-			s.State = qm.Suspect
-			suspect = append(suspect, &s)
-		}
-		deps.Board.Endpoints.Store(suspect)
+		deps.Board.Endpoints.Store(withState(deps.Board, qm.Suspect))
 		deps.Fatal = newFatalTracker(t, client)
 		defer deps.Fatal.Close()
 		runner := exchg.New(deps)
