Recognise completions and messages that end engines in quetzalmount serve

What callers see: with the product's own interface nothing keeps a completion that ends its engine away from the next one. A broken stream is sent on to up to three more engines at once. Cause: the quarantine was built into the path of exchanges alone. Change: the relay registers each run with the same tracker; parts are the messages but the last. After a break it waits until it is known whether the engine has ended (20 ms and a connection), and a completion under which two have ended is not sent to a third. The refusal names the message by position and role and says until when. Routers exchange their reports as on the platform. Hooks of the stream say whether the engine may have run the request.

Not played with processes: the engine stand-ins keep their port when they crash.

--- a/exchange.go
+++ b/exchange.go
@@ -75,7 +75,8 @@
 	return string(v)
 }
 
-// maxFingerprintParts bounds the parts of a prompt with a fingerprint of their own. Prompts have a handful of parts.
+// maxFingerprintParts bounds the parts of a prompt, or the messages of a completion, with a fingerprint of their own. Most prompts have a
+// handful of parts.
 const maxFingerprintParts = 64
 
 // Fingerprints returns the fingerprint of the whole exchange and those of the parts of its prompt that other exchanges may share, in order
@@ -83,16 +84,16 @@
 func (x *Exchange) Fingerprints() []Fingerprint {
 	out := []Fingerprint{x.Fingerprint()}
 	for _, s := range x.Segments[:min(max(len(x.Segments)-1, 0), maxFingerprintParts)] {
-		out = append(out, x.partFingerprint(s))
+		out = append(out, fingerprint("part", string(x.Team), string(x.Model), s.ID))
 	}
 	return out
 }
 
-// partFingerprint returns a hash of the team, the model and a part of the prompt.
-func (x *Exchange) partFingerprint(s PromptSegment) Fingerprint {
+// fingerprint returns a hash of values.
+func fingerprint(values ...string) Fingerprint {
 	var h xxhash.Digest
 	h.Reset()
-	for _, v := range []string{"part", string(x.Team), string(x.Model), s.ID} {
+	for _, v := range values {
 		_, _ = h.WriteString(v)
 		_, _ = h.Write([]byte{0})
 	}
--- a/internal/entry/server/components.go
+++ b/internal/entry/server/components.go
@@ -17,6 +17,7 @@
 	"quetzalmount.dev/quetzalmount/internal/client/pool"
 	"quetzalmount.dev/quetzalmount/internal/infra/conf"
 	"quetzalmount.dev/quetzalmount/internal/infra/meter"
+	"quetzalmount.dev/quetzalmount/internal/limit/fatal"
 	"quetzalmount.dev/quetzalmount/internal/limit/gate"
 	"quetzalmount.dev/quetzalmount/internal/limit/pause"
 	"quetzalmount.dev/quetzalmount/internal/limit/share"
@@ -63,6 +64,7 @@
 
 	roster  *roster.Roster
 	adviser *advice.Adviser
+	fatal   *fatal.Tracker
 	peer    *peer.Peer
 	config  *config.Controller
 	limiter *share.Limiter
@@ -182,8 +184,18 @@
 	})
 	c.onClose(c.roster.Close)
 	c.adviser = advice.New(c.board, advice.Options{Validity: c.settings.AdviceValidity})
+	self := qm.InstanceID(c.settings.Instance)
+	c.fatal = fatal.New(ctx, fatal.Options{
+		Probe: pool.Probe, Lookup: c.lookUpEndpoint, Announce: func() { c.peer.TriggerRound() }, Scope: c.meter.Scope(), Log: c.log.WithName("fatal"),
+		IsFirst: func(fp qm.Fingerprint) bool {
+			members, _ := c.board.Members.Load()
+			return fatal.IsFirst(members, self, fp)
+		},
+	})
+	c.onClose(c.fatal.Close)
 	c.peer = peer.New(ctx, peer.Options{
-		Board: c.board, Roster: c.roster, Self: c.selfMember(), Client: &peerClient{key: c.settings.PeerKey, client: c.peerHTTP},
+		Reports: c.fatal,
+		Board:   c.board, Roster: c.roster, Self: c.selfMember(), Client: &peerClient{key: c.settings.PeerKey, client: c.peerHTTP},
 		Scheme:   c.peerScheme(),
 		Snapshot: c.tableSnapshot, Lend: c.lendShares, RoundInterval: c.settings.PeerRoundInterval,
 	})
@@ -233,7 +245,7 @@
 	c.onCloseLogError("streams", c.streams.Close)
 	c.relay = relay.New(relay.Deps{
 		Board: c.board, Admit: c.gate.Admit, AcquireSlot: c.slots.Acquire, RetryBudget: c.budget, Placer: c.placer, Streamer: c.streams, Health: c.health,
-		Meter: c.meter, Pauses: pause.New(),
+		Meter: c.meter, Pauses: pause.New(), Fatal: c.fatal,
 	})
 	c.invoker = invoke.New(invoke.Deps{Board: c.board, Client: c.services, Health: c.health, TakeRetry: c.budget.TakeRetry})
 }
--- a/internal/limit/fatal/ledger.go
+++ b/internal/limit/fatal/ledger.go
@@ -306,6 +306,27 @@
 	}
 }
 
+// EndsOf returns the number of engines that ended while they ran a request, since its last acquittal.
+func (l *Ledger) EndsOf(fp qm.Fingerprint, request qm.RequestID) int {
+	n := 0
+	if s := l.suspects[fp]; s != nil {
+		for _, e := range s.ends {
+			if e.request == request {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// ConvictedUntil returns the time until which a fingerprint is refused, zero if it is not.
+func (l *Ledger) ConvictedUntil(fp qm.Fingerprint, now time.Time) time.Time {
+	if s := l.suspects[fp]; s != nil && l.isConvicted(s, now) {
+		return s.convicted.Add(s.sentence)
+	}
+	return time.Time{}
+}
+
 // Conviction is a request that is refused.
 type Conviction struct {
 	Fingerprint qm.Fingerprint
--- a/internal/limit/fatal/tracker.go
+++ b/internal/limit/fatal/tracker.go
@@ -100,8 +100,15 @@
 	ledger  *Ledger
 	running map[qm.Fingerprint]map[*Run]bool
 	reports []timedReport
-	// probes holds the interrupted runs of each engine that is being probed.
-	probes map[EndpointRun][]*Run
+	// probes holds the engines that are being probed.
+	probes map[EndpointRun]*probe
+}
+
+// probe is the check whether an engine has ended.
+type probe struct {
+	interrupted []*Run
+	// done is closed after the check, when the interrupted runs are accused or not.
+	done chan struct{}
 }
 
 type timedReport struct {
@@ -117,7 +124,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	t := &Tracker{
 		opts: opts, ctx: ctx, cancel: cancel, ledger: NewLedger(),
-		running: make(map[qm.Fingerprint]map[*Run]bool), probes: make(map[EndpointRun][]*Run),
+		running: make(map[qm.Fingerprint]map[*Run]bool), probes: make(map[EndpointRun]*probe),
 	}
 	t.loop = period.New(ctx, repeatInterval, func(context.Context) { t.repeatConvictions(time.Now()) })
 	return t
@@ -223,27 +230,53 @@
 }
 
 // Interrupted records that the connection to the engine ended before the response was complete. If the engine has ended, the request is
-// accused.
-func (r *Run) Interrupted() {
+// accused. The returned channel is closed when that is decided.
+func (r *Run) Interrupted() <-chan struct{} {
 	t := r.tracker
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r.remove()
 	if len(r.fingerprints) == 0 || t.ctx.Err() != nil {
-		return
+		return closed
 	}
 	if r.endpoint.State == qm.Leaving {
 		t.logNotAccused([]*Run{r}, "the engine was leaving")
-		return
+		return closed
 	}
 	run := EndpointRun{r.endpoint.ID, r.endpoint.Incarnation}
-	_, probing := t.probes[run]
-	t.probes[run] = append(t.probes[run], r)
-	if probing {
-		return
+	p := t.probes[run]
+	if p == nil {
+		p = &probe{done: make(chan struct{})}
+		t.probes[run] = p
+		at := time.Now()
+		t.wg.Go(func() {
+			defer close(p.done)
+			t.probe(r.endpoint, run, at)
+		})
 	}
-	at := time.Now()
-	t.wg.Go(func() { t.probe(r.endpoint, run, at) })
+	p.interrupted = append(p.interrupted, r)
+	return p.done
+}
+
+// closed is a channel that is closed.
+var closed = func() <-chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}()
+
+// EndsOf returns the number of engines that ended while they ran a request with these fingerprints and this ID.
+func (t *Tracker) EndsOf(fps []qm.Fingerprint, request qm.RequestID) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.ledger.EndsOf(fps[0], request)
+}
+
+// RefusedUntil returns the time until which a fingerprint is refused, zero if it is not. One run follows as a test.
+func (t *Tracker) RefusedUntil(fp qm.Fingerprint) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.ledger.ConvictedUntil(fp, time.Now())
 }
 
 // remove removes the run from those in progress. The caller holds the tracker's lock.
@@ -269,7 +302,7 @@
 	}
 	err := t.opts.Probe(ctx, e)
 	t.mu.Lock()
-	accused := t.probes[run]
+	accused := t.probes[run].interrupted
 	delete(t.probes, run)
 	t.mu.Unlock()
 	if !errors.Is(err, syscall.ECONNREFUSED) {
--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -15,6 +15,7 @@
 
 	qm "quetzalmount.dev/quetzalmount"
 	"quetzalmount.dev/quetzalmount/internal/infra/meter"
+	"quetzalmount.dev/quetzalmount/internal/limit/fatal"
 	"quetzalmount.dev/quetzalmount/internal/limit/pause"
 	"quetzalmount.dev/quetzalmount/internal/route/prefix"
 	"quetzalmount.dev/quetzalmount/internal/route/stream"
@@ -42,6 +43,8 @@
 	Meter       *meter.Meter
 	// Pauses holds the engines that have asked for no requests.
 	Pauses *pause.Table
+	// Fatal recognises completions and messages that end engines; nil for none.
+	Fatal *fatal.Tracker
 }
 
 // Relay runs completions. It is safe for concurrent use.
@@ -75,7 +78,12 @@
 func (r *Relay) stream(ctx context.Context, c *qm.Completion, deliver func(qm.Chunk) error) (qm.Tokens, error) {
 	r.deps.RetryBudget.RecordRequest(c.Team.ID)
 	series := r.deps.Meter.Team(c.Team.ID)
-	j := &job{relay: r, completion: c, series: series, startedAt: time.Now()}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	j := &job{relay: r, completion: c, series: series, startedAt: time.Now(), cancel: cancel}
+	if r.deps.Fatal != nil {
+		j.fingerprints = c.Fingerprints()
+	}
 	sum, err := r.deps.Streamer.Run(ctx, &stream.Request{
 		Engine:   &j.engineRequest,
 		Continue: c.Model.CanContinue,
@@ -87,11 +95,15 @@
 		},
 		FirstToken: j.firstToken,
 		Failed:     j.failed,
-		Finished: func(d qm.Placement) {
+		Finished: func(d qm.Placement, mayHaveRun bool, err error) {
 			r.deps.Placer.Finished(&j.placeRequest, d, time.Now())
 			j.ended(j.tookRequest)
+			j.endRun(ctx, mayHaveRun, err)
 		},
 	})
+	if err != nil && errors.Is(context.Cause(ctx), fatal.ErrConvicted) {
+		err = j.stoppedError(err)
+	}
 	series.Resumed(sum.Resumes)
 	series.Continued(sum.Failovers)
 	used := qm.Tokens(sum.Chunks)
@@ -114,13 +126,23 @@
 	delivered          bool
 	firstTokenRecorded bool
 	attempt            qm.Attempt
+	// fingerprints are those of the completion, nil without Deps.Fatal.
+	fingerprints []qm.Fingerprint
+	// run is the current run in Deps.Fatal, and cancel ends the completion if it must not run any more.
+	run    *fatal.Run
+	cancel context.CancelCauseFunc
+	// checked is closed when it is known whether the engine of the last run has ended; nil if that run was not interrupted.
+	checked <-chan struct{}
 	// ended records in Deps.Pauses the end of the attempt, and tookRequest, whether the engine took the request.
 	ended       func(taken bool)
 	tookRequest bool
 }
 
 // place selects an engine that is not excluded and, before the first chunk, the weights version.
-func (j *job) place(_ context.Context, exclude []qm.EndpointID) (qm.Placement, error) {
+func (j *job) place(ctx context.Context, exclude []qm.EndpointID) (qm.Placement, error) {
+	if err := j.refuseFatal(ctx); err != nil {
+		return qm.Placement{}, err
+	}
 	now := time.Now()
 	rnd := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	engines, pausedUntil := j.relay.usable(j.completion.Model.Group, exclude, now)
@@ -134,6 +156,9 @@
 			"No engine can take a request for %s now; nothing was run, try again later.", j.completion.Model.ID).
 			WithRetryAfter(noEngineRetryAfter(pausedUntil, now))
 	}
+	if err := j.beginRun(d); err != nil {
+		return qm.Placement{}, err
+	}
 	j.relay.deps.Placer.Dispatched(&j.placeRequest, d, now)
 	j.attempt = j.relay.deps.Health.Begin(d.Endpoint.ID)
 	j.ended, j.tookRequest = j.relay.deps.Pauses.Sent(d.Endpoint.ID, d.Endpoint.Incarnation, now), false
--- a/internal/route/stream/run.go
+++ b/internal/route/stream/run.go
@@ -58,9 +58,10 @@
 			}
 			return err
 		}
-		err = t.tryEngine(ctx, d)
+		a := &engineAttempt{task: t, placement: d, startedAt: time.Now()}
+		err = a.run(ctx)
 		if t.request.Finished != nil {
-			t.request.Finished(d)
+			t.request.Finished(d, a.requested, err)
 		}
 		if err == nil {
 			return nil
@@ -123,9 +124,9 @@
 	startedAt   time.Time
 }
 
-// tryEngine runs the request at one engine, with resumes, until the stream is complete or no further resume is allowed.
-func (t *task) tryEngine(ctx context.Context, d qm.Placement) error {
-	a := &engineAttempt{task: t, placement: d, startedAt: time.Now()}
+// run runs the request at the engine, with resumes, until the stream is complete or no further resume is allowed.
+func (a *engineAttempt) run(ctx context.Context) error {
+	t, d := a.task, a.placement
 	err := a.start(ctx)
 	for err != nil && a.mayResume(ctx, err) {
 		if t.request.Failed != nil && !a.awaitingFirst(err) {
--- a/internal/route/stream/stream.go
+++ b/internal/route/stream/stream.go
@@ -84,10 +84,10 @@
 	// Deliver passes a chunk to the caller; chunks come in order. An error means that the caller has disconnected.
 	Deliver func(qm.Chunk) error
 	// The hooks may be nil. FirstToken is called for the first chunk from each engine, Failed for each fault, and Finished when the
-	// request has ended at an engine for any reason.
+	// request has ended at an engine for any reason, with the error if it is not complete. mayHaveRun is set if the engine may have run it.
 	FirstToken func(d qm.Placement, cached qm.Tokens)
 	Failed     func(d qm.Placement, err error)
-	Finished   func(d qm.Placement)
+	Finished   func(d qm.Placement, mayHaveRun bool, err error)
 }
 
 // Summary describes a finished run.
--- a/ports.go
+++ b/ports.go
@@ -251,6 +251,20 @@
 	MaxTokens   Tokens
 }
 
+// Fingerprints returns the fingerprint of the whole completion and those of the messages that other completions may share, in order and at
+// most 64. The last message is not shared.
+func (c *Completion) Fingerprints() []Fingerprint {
+	whole := []string{"completion", string(c.Team.ID), string(c.Model.ID)}
+	for _, m := range c.Messages {
+		whole = append(whole, m.Role, m.Content)
+	}
+	out := []Fingerprint{fingerprint(whole...)}
+	for _, m := range c.Messages[:min(max(len(c.Messages)-1, 0), maxFingerprintParts)] {
+		out = append(out, fingerprint("message", string(c.Team.ID), string(c.Model.ID), m.Role, m.Content))
+	}
+	return out
+}
+
 // Completer runs completions.
 type Completer interface {
 	// Complete passes the chunks of the completion to deliver, in order and without gaps. It returns an *Error if the completion
