--- a/internal/route/exchg/fleet_test.go
+++ b/internal/route/exchg/fleet_test.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net/http"
 	"net/url"
-	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -24,7 +23,7 @@
 )
 
 const (
-	// badPart is the part of a prompt that ends each engine that begins to answer it.
+	// badPart is the prefix of the parts of a prompt that end each engine that begins to answer them.
 	badPart = "bad"
 	// engineRestart is the time after which an engine is back.
 	engineRestart = 3 * time.Second
@@ -35,9 +34,14 @@
 // fleetPlan describes a fleet and its load.
 type fleetPlan struct {
 	engines, routers, perSecond int
-	// badShare is the fraction of the requests with badPart, badDepth its position in the prompt.
+	// badParts is the number of bad parts, badShare the fraction of the requests with one of them, badDepth its position in the prompt.
+	badParts int
 	badShare float64
 	badDepth int
+	// mayComplete is the fraction of the runs with a bad part that complete.
+	mayComplete float64
+	// crashesPerSecond is the rate at which engines end for another reason.
+	crashesPerSecond float64
 	// badTeam is the team whose requests have badPart. Team 0 sends most requests and the last one the fewest.
 	badTeam int
 	kind    qm.ExchangeKind
@@ -57,10 +61,11 @@
 
 // fleetRequest is a request of a caller and its result.
 type fleetRequest struct {
-	sentAt   time.Time
-	team     int
-	bad      bool
-	answered bool
+	sentAt time.Time
+	team   int
+	bad    bool
+	// answered is set if it was answered, refused if it was refused because it ends engines.
+	answered, refused bool
 }
 
 // fleet is a model of several routers in front of the same engines. It implements quetzalmount.ExchangeClient.
@@ -73,8 +78,8 @@
 	mu      sync.Mutex
 	rnd     *rand.Rand
 	engines map[qm.EndpointID]*fleetEngine
-	// ends are the times at which engines ended, badSends those at which requests with badPart reached an engine.
-	ends, badSends []time.Time
+	// ends are the times at which a bad part ended an engine, badSends those at which requests with it reached an engine.
+	ends, badSends map[string][]time.Time
 	requests       []*fleetRequest
 }
 
@@ -101,7 +106,8 @@
 }
 
 // end ends the process of an engine, if it is still the one that closes ended, and starts it again later.
-func (f *fleet) end(e *fleetEngine, ended chan struct{}) {
+// part is the bad part that ended it, empty for another reason.
+func (f *fleet) end(e *fleetEngine, ended chan struct{}, part string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if e.ended != ended || e.down {
@@ -109,7 +115,9 @@
 	}
 	e.down = true
 	close(ended)
-	f.ends = append(f.ends, time.Now())
+	if part != "" {
+		f.ends[part] = append(f.ends[part], time.Now())
+	}
 	time.AfterFunc(engineRestart, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
@@ -136,17 +144,25 @@
 
 // Send implements quetzalmount.ExchangeClient.
 func (f *fleet) Send(ctx context.Context, x *qm.Exchange, o qm.ExchangeAttempt) (*qm.Response, error) {
-	isBad := slices.ContainsFunc(x.Segments, func(s qm.PromptSegment) bool { return s.ID == badPart })
+	bad := ""
+	for _, s := range x.Segments {
+		if strings.HasPrefix(s.ID, badPart) {
+			bad = s.ID
+		}
+	}
 	f.mu.Lock()
 	e := f.engines[o.Endpoint.ID]
 	down, ended := e.down, e.ended
-	if !down && isBad {
-		f.badSends = append(f.badSends, time.Now())
+	if !down && bad != "" {
+		f.badSends[bad] = append(f.badSends[bad], time.Now())
 	}
 	took := 100*time.Millisecond + time.Duration(f.rnd.ExpFloat64()*float64(200*time.Millisecond))
-	if isBad {
+	if bad != "" {
 		took = 200 * time.Millisecond
 	}
+	if f.rnd.Float64() < f.plan.mayComplete {
+		bad = ""
+	}
 	f.mu.Unlock()
 	if down {
 		return nil, qm.Refuse(qm.CodeEndpointUnreached, "connect", "connection refused")
@@ -160,8 +176,8 @@
 		return nil, qm.Fail(qm.CodeEndpointFailed, "send", o.Endpoint.Address, errors.New("reset"))
 	case <-timer.C:
 	}
-	if isBad {
-		f.end(e, ended)
+	if bad != "" {
+		f.end(e, ended, bad)
 		return nil, qm.Fail(qm.CodeEndpointFailed, "send", o.Endpoint.Address, errors.New("reset"))
 	}
 	return &qm.Response{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(event1))}, nil
@@ -179,7 +195,7 @@
 	}
 	parts := []string{fmt.Sprint("rules-", team), fmt.Sprintf("subject-%d-%d", team, min(int(f.rnd.ExpFloat64()*6), 40)), fmt.Sprint("own-", n)}
 	if isBad {
-		parts[f.plan.badDepth] = badPart
+		parts[f.plan.badDepth] = fmt.Sprint(badPart, f.rnd.IntN(f.plan.badParts))
 	}
 	x := &qm.Exchange{
 		Request: qm.RequestID(fmt.Sprint("r", n)), Group: "g", Team: qm.TeamID(fmt.Sprint("t", team)), Method: http.MethodPost, Target: &url.URL{Path: "/a"},
@@ -240,6 +256,9 @@
 	for i := range trackers {
 		go f.exchangeReports(trackers, i)
 	}
+	if f.plan.crashesPerSecond > 0 {
+		go f.crash(ctx)
+	}
 	var callers sync.WaitGroup
 	end := time.Now().Add(f.plan.length)
 	for n := 0; time.Now().Before(end); n++ {
@@ -250,7 +269,7 @@
 			err := runner.Run(ctx, x, &recorder{})
 			f.mu.Lock()
 			defer f.mu.Unlock()
-			r.answered = err == nil
+			r.answered, r.refused = err == nil, err != nil && qm.AsError(err).Code == qm.CodeFatalRequest
 		})
 	}
 	callers.Wait()
@@ -261,6 +280,26 @@
 	time.Sleep(engineRestart + time.Second)
 }
 
+// crash ends engines for another reason than a bad part.
+func (f *fleet) crash(ctx context.Context) {
+	mean := float64(time.Second) / f.plan.crashesPerSecond
+	for ctx.Err() == nil {
+		f.mu.Lock()
+		wait := time.Duration(f.rnd.ExpFloat64() * mean)
+		e := f.engines[qm.EndpointID(fmt.Sprint("e", f.rnd.IntN(len(f.engines))))]
+		f.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(wait):
+		}
+		f.mu.Lock()
+		ended := e.ended
+		f.mu.Unlock()
+		f.end(e, ended, "")
+	}
+}
+
 // answeredShare returns the fraction of the sound requests of a team, sent from a time on, that were answered, and their number.
 func (f *fleet) answeredShare(team int, from time.Time) (share float64, n int) {
 	answered := 0
@@ -276,20 +315,58 @@
 	return float64(answered) / float64(max(n, 1)), n
 }
 
-// lateSends counts the requests with badPart that reached an engine later than contactTime after the fifth end.
-func (f *fleet) lateSends() int {
-	if len(f.ends) < 5 {
+// lateSends counts the requests with a bad part that reached an engine later than contactTime after the fifth end.
+func (f *fleet) lateSends(part string) int {
+	if len(f.ends[part]) < 5 {
 		return 0
 	}
 	n := 0
-	for _, at := range f.badSends {
-		if at.Sub(f.ends[4]) > contactTime {
+	for _, at := range f.badSends[part] {
+		if at.Sub(f.ends[part][4]) > contactTime {
 			n++
 		}
 	}
 	return n
 }
 
+// newFleet returns a fleet that has not started.
+func newFleet(plan fleetPlan, seed uint64) *fleet {
+	return &fleet{
+		plan: plan, board: board.New(), rnd: rand.New(rand.NewPCG(seed, 33)), engines: map[qm.EndpointID]*fleetEngine{},
+		ends: map[string][]time.Time{}, badSends: map[string][]time.Time{},
+	}
+}
+
+// check checks the users' bounds on a fleet that has run.
+func (f *fleet) check(t *testing.T) {
+	t.Helper()
+	for part, ends := range f.ends {
+		if n := f.lateSends(part); n > 3 {
+			t.Errorf("requests with the part %s were sent %d times later than %v after the fifth of %d ends", part, n, contactTime, len(ends))
+		}
+		from := ends[min(len(ends), 5)-1].Add(2 * contactTime)
+		if share, n := f.answeredShare(f.plan.badTeam, from); n >= 20 && share < 0.5 {
+			t.Errorf("%.2f of %d sound requests of the team were answered", share, n)
+		}
+	}
+	sound, refused := 0, 0
+	for _, r := range f.requests {
+		if r.bad {
+			continue
+		}
+		sound++
+		if r.refused {
+			refused++
+		}
+	}
+	if f.plan.badShare > 0 && len(f.ends) == 0 {
+		t.Error("no engine has ended")
+	}
+	if refused > sound/100 || f.plan.badShare == 0 && refused > 0 {
+		t.Errorf("%d of %d sound requests were refused because they end engines", refused, sound)
+	}
+}
+
 // TestFatalPart guards against a part of a prompt that ends one engine after the other because no two requests with it are equal, and
 // against refusing sound requests of its team with it.
 func TestFatalPart(t *testing.T) {
@@ -300,23 +377,40 @@
 		{engines: 12, routers: 6, perSecond: 95, badTeam: 6, badDepth: 1},
 		{engines: 84, routers: 30, perSecond: 600, badTeam: 1, badDepth: 1},
 	} {
-		plan.badShare, plan.length = 0.02, 20*time.Second
+		plan.badParts, plan.badShare, plan.length = 1, 0.02, 20*time.Second
 		for _, kind := range []qm.ExchangeKind{qm.Streaming, qm.Resumable} {
 			plan.kind = kind
 			t.Run(fmt.Sprintf("%d engines %s team %d depth %d", plan.engines, kind, plan.badTeam, plan.badDepth), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					f := &fleet{plan: plan, board: board.New(), rnd: rand.New(rand.NewPCG(1, 33)), engines: map[qm.EndpointID]*fleetEngine{}}
+					f := newFleet(plan, 1)
+					f.run(t)
+					f.check(t)
+				})
+			})
+		}
+	}
+}
+
+// TestFatalParts guards against parts that are not found because several end engines at the same time, engines crash for another reason too, or
+// some runs with the part complete, and against refusing anything if engines only crash.
+func TestFatalParts(t *testing.T) {
+	for name, plan := range map[string]fleetPlan{
+		"two parts":              {engines: 12, badParts: 2, badShare: 0.03},
+		"three parts":            {engines: 18, badParts: 3, badShare: 0.03},
+		"crashes beside":         {engines: 12, badParts: 1, badShare: 0.02, crashesPerSecond: 0.5},
+		"a third completes":      {engines: 12, badParts: 1, badShare: 0.02, mayComplete: 0.33},
+		"crashes, small fleet":   {engines: 9, crashesPerSecond: 1},
+		"crashes, larger fleet":  {engines: 40, crashesPerSecond: 2},
+		"crashes, a few engines": {engines: 3, crashesPerSecond: 0.3},
+	} {
+		plan.routers, plan.perSecond, plan.badTeam, plan.badDepth, plan.length = 6, 8*plan.engines, 1, 1, 20*time.Second
+		for _, kind := range []qm.ExchangeKind{qm.Streaming, qm.Resumable} {
+			plan.kind = kind
+			t.Run(fmt.Sprintf("%s %s", name, kind), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newFleet(plan, 1)
 					f.run(t)
-					if n := f.lateSends(); n > 3 {
-						t.Errorf("requests with the part were sent %d times later than %v after the fifth of %d ends", n, contactTime, len(f.ends))
-					}
-					if len(f.ends) == 0 {
-						t.Fatal("no engine has ended")
-					}
-					from := f.ends[min(len(f.ends), 5)-1].Add(2 * contactTime)
-					if share, n := f.answeredShare(plan.badTeam, from); n >= 20 && share < 0.5 {
-						t.Errorf("%.2f of %d sound requests of the team were answered", share, n)
-					}
+					f.check(t)
 				})
 			})
 		}
