Weigh completions against ends, and let a part of its own replace one before it

Change: a report of an end says how often each part completed lately at the router that saw it. A part that did is convicted only if the ends span the time in which three completions were due. A router that hears of an end answers with what has completed there since. Completions count against accusations: as many clear a suspect, fewer do not; a test after the sentence still ends a conviction at once. If the parts of one request explain equally many ends, the one that completed least is convicted. A more specific part that explains all ends of a convicted one takes its place. Release clears weaker convictions only, so that evidence is kept. New field of reports, which older routers skip.

--- a/internal/limit/fatal/ledger.go
+++ b/internal/limit/fatal/ledger.go
@@ -36,6 +36,19 @@
 	manyEndsExplain = 0.35
 	// minUnexplained is the number of ends that no convicted suspect explains, from which a part that shares others with one is convicted.
 	minUnexplained = 2
+	// completionWindow is the time over which completions before an end are counted.
+	completionWindow = 10 * time.Second
+	// expectedCompletions is the number of completions that a suspect misses before it is convicted although it completed before. A sound one
+	// misses three by chance once in twenty times.
+	expectedCompletions = 3
+	// assumedCompletions is the number of completions in completionWindow, ten a second, that is assumed of a suspect at routers that have just
+	// started.
+	assumedCompletions = 100
+	// maxSpan bounds that time for suspects that come seldom, of which few would run on several engines that end.
+	maxSpan = 3 * time.Second
+	// endsPerCompletion is the number of ends for each completion meanwhile that a suspect must exceed by two to be convicted: one that ends
+	// engines only now and then completes in between. One that completed more often before than it ended engines is not convicted then.
+	endsPerCompletion = 2
 	// minSentence is how long a convicted request is refused before a single run is allowed as a test. It doubles with each further
 	// conviction, up to maxSentence.
 	minSentence = 30 * time.Second
@@ -77,7 +90,12 @@
 	// ends are the engines that ended while they ran the suspect, since its last acquittal.
 	ends []end
 	// isPart is set for a part of a prompt.
-	isPart     bool
+	isPart bool
+	// completedBefore is the largest number of Accusation.Completions, isUncounted is set if a router didn't know it.
+	completedBefore int
+	isUncounted     bool
+	// completed are the requests that completed since the first of ends.
+	completed  []qm.RequestID
 	acquitted  time.Time
 	convicted  time.Time
 	sentence   time.Duration
@@ -99,40 +117,81 @@
 type Accusation struct {
 	// Fingerprints are those of the request, as quetzalmount.Exchange.Fingerprints returns them.
 	Fingerprints []qm.Fingerprint
-	Request      qm.RequestID
-	Run          EndpointRun
-	Began, At    time.Time
+	// Completions are the numbers of runs with each of Fingerprints that completed within completionWindow at the router that saw the end, or
+	// unknownCompletions; nil for none.
+	Completions []int
+	Request     qm.RequestID
+	Run         EndpointRun
+	Began, At   time.Time
 }
 
-// Accuse records an accusation. It reports whether that was new, and which fingerprint became convicted by it, 0 if none.
+// Accuse records an accusation and judges it. It reports whether it was new, and which fingerprint became convicted by it, 0 if none.
 func (l *Ledger) Accuse(a Accusation) (isNew bool, convicted qm.Fingerprint) {
+	if !l.Record(a) {
+		return false, 0
+	}
+	return true, l.Judge(a)
+}
+
+// Record records an accusation and reports whether it was new.
+func (l *Ledger) Record(a Accusation) (isNew bool) {
 	l.recordEnd(a.Run, a.At)
-	if i := slices.IndexFunc(a.Fingerprints, func(fp qm.Fingerprint) bool { return l.isConvictedFingerprint(fp, a.At) }); i >= 0 {
-		// The convicted one explains the end.
-		s := l.suspects[a.Fingerprints[i]]
-		isNew = l.addEnd(s, a)
-		l.release(s)
-		return isNew, 0
-	}
-	accused := make([]*suspect, 0, len(a.Fingerprints))
+	convicted := l.convictedOf(a)
 	for i, fp := range a.Fingerprints {
+		if i < convicted {
+			continue // The convicted one explains the end, unless a more specific one explains all its ends.
+		}
 		s := l.suspectOf(fp, a.At)
 		s.isPart = i > 0
+		if i < len(a.Completions) {
+			s.completedBefore = max(s.completedBefore, a.Completions[i])
+			s.isUncounted = s.isUncounted || a.Completions[i] == unknownCompletions
+		}
 		isNew = l.addEnd(s, a) || isNew
-		accused = append(accused, s)
+		if i == convicted {
+			l.release(s)
+		}
 	}
-	if !isNew {
-		return false, 0
+	return isNew
+}
+
+// Judge returns the fingerprint that becomes convicted by a recorded accusation, 0 if none.
+func (l *Ledger) Judge(a Accusation) qm.Fingerprint {
+	i := l.strongest(a.Fingerprints, a.At)
+	if convicted := l.convictedOf(a); convicted >= 0 {
+		i = l.moreSpecific(a.Fingerprints, convicted)
 	}
-	i := l.strongest(accused, a.At)
 	if i < 0 {
-		return true, 0
+		return 0
 	}
-	s := accused[i]
+	s := l.suspects[a.Fingerprints[i]]
 	s.sentence = min(max(minSentence, 2*s.sentence), maxSentence)
 	s.convicted, s.testedAt = a.At, time.Time{}
 	l.release(s)
-	return true, a.Fingerprints[i]
+	return a.Fingerprints[i]
+}
+
+// convictedOf returns the index of the last convicted fingerprint of an accusation, -1 if there is none.
+func (l *Ledger) convictedOf(a Accusation) int {
+	for i, fp := range slices.Backward(a.Fingerprints) {
+		if s := l.suspects[fp]; s != nil && l.isConvicted(s, a.At) {
+			return i
+		}
+	}
+	return -1
+}
+
+// moreSpecific returns the index of a part after the convicted one that explains all the ends of that one, which is cleared then, -1 if there
+// is none. The convicted part has come with it each time; it may have been convicted first because of the report of a bystander.
+func (l *Ledger) moreSpecific(accused []qm.Fingerprint, convicted int) int {
+	c := l.suspects[accused[convicted]]
+	for i := len(accused) - 1; i > convicted && c.isPart; i-- {
+		if s := l.suspects[accused[i]]; s != nil && len(s.ends) >= len(c.ends) && len(c.ends) > 0 && len(without(c.ends, s.ends)) == 0 {
+			*c = suspect{isPart: true, lastChange: c.lastChange}
+			return i
+		}
+	}
+	return -1
 }
 
 // suspectOf returns the suspect with a fingerprint, which it adds if there is none.
@@ -151,37 +210,45 @@
 	if !a.At.After(s.acquitted) || slices.ContainsFunc(s.ends, func(e end) bool { return e.run == a.Run }) {
 		return false
 	}
-	s.ends = append(slices.DeleteFunc(s.ends, func(e end) bool { return a.At.Sub(e.at) > evidenceWindow }), end{a.Run, a.Request, a.Began, a.At})
+	s.ends = slices.DeleteFunc(s.ends, func(e end) bool { return a.At.Sub(e.at) > evidenceWindow })
+	if len(s.ends) == 0 {
+		s.completed = nil
+	}
+	s.ends = append(s.ends, end{a.Run, a.Request, a.Began, a.At})
 	s.lastChange = a.At
 	return true
 }
 
 // strongest returns the index of the accused, those of one request, that is to be convicted, -1 if the accusations of none suffice. Among those
-// that explain the most ends it is the most specific one: the whole request, else the last part, since a part comes with all parts before it.
-func (l *Ledger) strongest(accused []*suspect, now time.Time) int {
-	best, most := -1, 0
+// that explain the most ends it is the one that completed least before, and then the most specific one: the whole request, else the last part,
+// since a part comes with all parts before it.
+func (l *Ledger) strongest(accused []qm.Fingerprint, now time.Time) int {
+	best, most, leastCompleted := -1, 0, 0
 	for n := range accused {
 		i := (len(accused) - n) % len(accused)
-		s := accused[i]
+		s := l.suspects[accused[i]]
+		if s == nil || len(s.ends) == 0 {
+			continue // forgotten or cleared
+		}
 		failedTest := !s.convicted.IsZero() && !s.testedAt.IsZero()
 		if !failedTest && !l.isProven(s, now) {
 			continue
 		}
-		if n := distinctEnds(s.ends); n > most {
-			best, most = i, n
+		if n := distinctEnds(s.ends); n > most || n == most && s.completedBefore < leastCompleted {
+			best, most, leastCompleted = i, n, s.completedBefore
 		}
 	}
 	return best
 }
 
-// release drops the accusations and the conviction of each other suspect whose ends a convicted one explains, and that explains fewer.
-// With fewer than manyEnds ends, a bystander may be the one that was convicted.
+// release clears each other convicted suspect whose ends a convicted one explains, and that explains fewer. With fewer than manyEnds ends, a
+// bystander may be the one that was convicted.
 func (l *Ledger) release(convicted *suspect) {
 	if len(convicted.ends) < manyEnds {
 		return
 	}
 	for _, s := range l.suspects {
-		if s == convicted || len(s.ends) == 0 || len(s.ends) >= len(convicted.ends) {
+		if s == convicted || s.convicted.IsZero() || len(s.ends) == 0 || len(s.ends) >= len(convicted.ends) {
 			continue
 		}
 		if len(without(s.ends, convicted.ends)) == 0 {
@@ -219,7 +286,13 @@
 	if len(ends) == 0 || s.isPart && len(unexplained) < min(len(s.ends), minUnexplained) {
 		return false
 	}
+	if span(s.ends) < s.minSpan() {
+		return false
+	}
 	n := distinctEnds(ends)
+	if len(s.completed) > 0 && (n <= endsPerCompletion*len(s.completed)+1 || s.completedBefore > n || s.isUncounted) {
+		return false
+	}
 	explained := float64(n) / float64(max(distinctEnds(recent), 1))
 	if n >= manyEnds && explained >= manyEndsExplain {
 		return true
@@ -228,6 +301,24 @@
 	return !s.isPart && n >= fewEnds && severalRequests && explained >= fewEndsExplain
 }
 
+// span returns the time between the first and the last of ends.
+func span(ends []end) time.Duration {
+	byTime := func(a, b end) int { return a.at.Compare(b.at) }
+	return slices.MaxFunc(ends, byTime).at.Sub(slices.MinFunc(ends, byTime).at)
+}
+
+// minSpan returns the time within which a suspect that is in use would have completed somewhere if it were sound.
+func (s *suspect) minSpan() time.Duration {
+	n := s.completedBefore
+	if s.isUncounted {
+		n = max(n, assumedCompletions)
+	}
+	if n == 0 {
+		return 0
+	}
+	return min(expectedCompletions*completionWindow/time.Duration(n), maxSpan)
+}
+
 // distinctEnds counts the ends of engines, simultaneous ones once, unless a run began after the engine before had ended.
 func distinctEnds(ends []end) int {
 	sorted := slices.SortedFunc(slices.Values(ends), func(a, b end) int { return a.at.Compare(b.at) })
@@ -249,13 +340,18 @@
 	l.recent = append(slices.DeleteFunc(l.recent, func(e end) bool { return at.Sub(e.at) > evidenceWindow }), end{run: run, at: at})
 }
 
-// Acquit records that a request ran to its end. It reports whether the request was accused or convicted until then.
-func (l *Ledger) Acquit(fp qm.Fingerprint, at time.Time) bool {
+// Acquit records that a request with a fingerprint ran to its end, and reports whether that was new. As many completions as accusations clear
+// a suspect, also a convicted one, of which runs in progress may complete; after its sentence a single one does, since that is the test.
+func (l *Ledger) Acquit(fp qm.Fingerprint, request qm.RequestID, at time.Time) bool {
 	s := l.suspects[fp]
-	if s == nil || !at.After(s.acquitted) || len(s.ends) == 0 && s.convicted.IsZero() {
+	if s == nil || !at.After(s.acquitted) || len(s.ends) == 0 && s.convicted.IsZero() || slices.Contains(s.completed, request) {
 		return false
 	}
-	*s = suspect{isPart: s.isPart, acquitted: at, lastChange: at}
+	s.completed = append(s.completed, request)
+	s.lastChange = at
+	if passedTest := !s.convicted.IsZero() && !l.isConvicted(s, at); passedTest || len(s.completed) >= len(s.ends) {
+		*s = suspect{isPart: s.isPart, acquitted: at, lastChange: at}
+	}
 	return true
 }
 
@@ -273,11 +369,6 @@
 	return !s.convicted.IsZero() && now.Before(s.convicted.Add(s.sentence))
 }
 
-func (l *Ledger) isConvictedFingerprint(fp qm.Fingerprint, now time.Time) bool {
-	s := l.suspects[fp]
-	return s != nil && l.isConvicted(s, now)
-}
-
 // Verdict returns what may be done with a request.
 func (l *Ledger) Verdict(fp qm.Fingerprint, now time.Time) Verdict {
 	s := l.suspects[fp]
--- a/internal/limit/fatal/tracker.go
+++ b/internal/limit/fatal/tracker.go
@@ -48,11 +48,14 @@
 	Kind ReportKind
 	// Fingerprints are those of the request, the whole request first; for ReportConvicted the convicted one alone.
 	Fingerprints []qm.Fingerprint
-	// Run, Request and Ran, the time for which the request had run, are set for ReportEnded, For for ReportConvicted.
-	Run     EndpointRun
+	// Run and Ran, the time for which the request had run, are set for ReportEnded, For for ReportConvicted.
+	Run EndpointRun
+	Ran time.Duration
+	// Request is set for ReportEnded and ReportCompleted.
 	Request qm.RequestID
-	Ran     time.Duration
-	For     time.Duration
+	// Completions are those of Accusation, set for ReportEnded.
+	Completions []int
+	For         time.Duration
 	// Age is the time since the observation.
 	Age time.Duration
 }
@@ -96,10 +99,12 @@
 	// wg counts the probes in progress.
 	wg sync.WaitGroup
 
-	mu      sync.Mutex
-	ledger  *Ledger
-	running map[qm.Fingerprint]map[*Run]bool
-	reports []timedReport
+	mu     sync.Mutex
+	ledger *Ledger
+	// completions counts the runs at this router that completed lately.
+	completions *counts
+	running     map[qm.Fingerprint]map[*Run]bool
+	reports     []timedReport
 	// probes holds the engines that are being probed.
 	probes map[EndpointRun]*probe
 }
@@ -123,7 +128,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	t := &Tracker{
-		opts: opts, ctx: ctx, cancel: cancel, ledger: NewLedger(),
+		opts: opts, ctx: ctx, cancel: cancel, ledger: NewLedger(), completions: newCounts(completionWindow, time.Now()),
 		running: make(map[qm.Fingerprint]map[*Run]bool), probes: make(map[EndpointRun]*probe),
 	}
 	t.loop = period.New(ctx, repeatInterval, func(context.Context) { t.repeatConvictions(time.Now()) })
@@ -199,9 +204,12 @@
 	t.mu.Lock()
 	r.remove()
 	now := time.Now()
-	acquitted := t.acquit(r.fingerprints, now)
+	for _, fp := range r.fingerprints {
+		t.completions.add(fp, r.request, now)
+	}
+	acquitted := t.acquit(r.fingerprints, r.request, now)
 	if len(acquitted) > 0 {
-		t.queue(Report{Kind: ReportCompleted, Fingerprints: acquitted}, now)
+		t.queue(Report{Kind: ReportCompleted, Fingerprints: acquitted, Request: r.request}, now)
 		t.count(ReportCompleted)
 	}
 	t.mu.Unlock()
@@ -211,11 +219,11 @@
 	}
 }
 
-// acquit acquits fingerprints and returns those that were accused or convicted. The caller holds t.mu.
-func (t *Tracker) acquit(fps []qm.Fingerprint, at time.Time) []qm.Fingerprint {
+// acquit records a completion of fingerprints and returns those that were accused or convicted. The caller holds t.mu.
+func (t *Tracker) acquit(fps []qm.Fingerprint, request qm.RequestID, at time.Time) []qm.Fingerprint {
 	var acquitted []qm.Fingerprint
 	for _, fp := range fps {
-		if t.ledger.Acquit(fp, at) {
+		if t.ledger.Acquit(fp, request, at) {
 			acquitted = append(acquitted, fp)
 		}
 	}
@@ -318,7 +326,10 @@
 	t.opts.Log.Info("engine ended while it ran requests", logs.Endpoint, e.ID, "Incarnation", run.Incarnation, "Address", e.Address,
 		"Requests", requests, "Fingerprints", fingerprints)
 	for _, r := range accused {
-		t.apply(Report{Kind: ReportEnded, Fingerprints: r.fingerprints, Request: r.request, Run: run, Ran: at.Sub(r.began)}, at)
+		t.apply(Report{
+			Kind: ReportEnded, Fingerprints: r.fingerprints, Completions: t.completionsOf(r.fingerprints), Request: r.request, Run: run,
+			Ran: at.Sub(r.began),
+		}, at)
 	}
 	t.opts.Announce()
 }
@@ -340,11 +351,15 @@
 	var convicted qm.Fingerprint
 	switch r.Kind {
 	case ReportEnded:
-		isNew, convicted = t.ledger.Accuse(Accusation{
-			Fingerprints: r.Fingerprints, Request: r.Request, Run: r.Run, Began: at.Add(-r.Ran), At: at,
-		})
+		a := Accusation{
+			Fingerprints: r.Fingerprints, Completions: r.Completions, Request: r.Request, Run: r.Run, Began: at.Add(-r.Ran), At: at,
+		}
+		if isNew = t.ledger.Record(a); isNew {
+			t.acquitCompleted(r.Fingerprints, at)
+			convicted = t.ledger.Judge(a)
+		}
 	case ReportCompleted:
-		isNew = len(t.acquit(r.Fingerprints, at)) > 0
+		isNew = len(t.acquit(r.Fingerprints, r.Request, at)) > 0
 	case ReportConvicted:
 		if isNew = t.ledger.Convict(r.Fingerprints[0], at, at.Add(r.For), now); isNew {
 			convicted = r.Fingerprints[0]
@@ -365,6 +380,29 @@
 	return isNew
 }
 
+// acquitCompleted acquits fingerprints that have completed at this router since an end at a time, which it hears of only now, and tells the other
+// routers. The caller holds t.mu.
+func (t *Tracker) acquitCompleted(fps []qm.Fingerprint, at time.Time) {
+	for _, fp := range fps {
+		for _, done := range t.completions.after(fp, at) {
+			if t.ledger.Acquit(fp, done.request, done.at) {
+				t.queue(Report{Kind: ReportCompleted, Fingerprints: []qm.Fingerprint{fp}, Request: done.request}, done.at)
+			}
+		}
+	}
+}
+
+// completionsOf returns how many runs with each fingerprint completed lately at this router.
+func (t *Tracker) completionsOf(fps []qm.Fingerprint) []int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]int, 0, len(fps))
+	for _, fp := range fps {
+		out = append(out, t.completions.count(fp, time.Now()))
+	}
+	return out
+}
+
 // count counts a report that was new.
 func (t *Tracker) count(k ReportKind) {
 	t.opts.Scope.Tagged(map[string]string{"kind": k.String()}).Counter("request_reports").Inc(1)
--- a/internal/member/peer/outbox.go
+++ b/internal/member/peer/outbox.go
@@ -82,7 +82,7 @@
 // reportKey returns the key of a report. All ends of engines that a request is accused of are passed on, and the newest report of another
 // kind.
 func reportKey(r fatal.Report) string {
-	return fmt.Sprintf("%x %d %s %s", r.Fingerprints, r.Kind, r.Run.Endpoint, r.Run.Incarnation)
+	return fmt.Sprintf("%x %d %s %s %s", r.Fingerprints, r.Kind, r.Run.Endpoint, r.Run.Incarnation, r.Request)
 }
 
 // takeReports returns the reports for one message.
@@ -109,10 +109,14 @@
 	for _, fp := range r.Fingerprints {
 		fps = append(fps, uint64(fp))
 	}
+	var completions []int32
+	for _, n := range r.Completions {
+		completions = append(completions, int32(n))
+	}
 	return &peerpb.RequestReport{
 		Fingerprint: fps[0], Parts: fps[1:], Kind: kindsOfReports[r.Kind], AgeMs: r.Age.Milliseconds(), ForMs: r.For.Milliseconds(),
 		Endpoint: string(r.Run.Endpoint), Incarnation: string(r.Run.Incarnation), Request: string(r.Request),
-		RanMs: r.Ran.Milliseconds(),
+		RanMs: r.Ran.Milliseconds(), Completions: completions,
 	}
 }
 
@@ -124,6 +128,9 @@
 		Ran: time.Duration(w.GetRanMs()) * time.Millisecond,
 		Run: fatal.EndpointRun{Endpoint: qm.EndpointID(w.GetEndpoint()), Incarnation: qm.Incarnation(w.GetIncarnation())},
 	}
+	for _, n := range w.GetCompletions() {
+		r.Completions = append(r.Completions, int(n))
+	}
 	for _, fp := range w.GetParts() {
 		r.Fingerprints = append(r.Fingerprints, qm.Fingerprint(fp))
 	}
