Compare few ends of a whole request with all recent ends

Cause: since ends that a convicted suspect explains are left out of the recent ones, two ends are soon most of what is left. Change: two ends must be most of all recent ends again; three are compared with the unexplained ones as before.

--- a/internal/limit/fatal/ledger.go
+++ b/internal/limit/fatal/ledger.go
@@ -272,6 +272,7 @@
 			recent = append(recent, e)
 		}
 	}
+	allRecent := distinctEnds(recent)
 	ends, unexplained := s.ends, s.ends
 	for _, other := range l.suspects {
 		if other == s || !l.isConvicted(other, now) {
@@ -298,7 +299,7 @@
 		return true
 	}
 	severalRequests := slices.ContainsFunc(ends, func(e end) bool { return e.request != ends[0].request })
-	return !s.isPart && n >= fewEnds && severalRequests && explained >= fewEndsExplain
+	return !s.isPart && n >= fewEnds && severalRequests && float64(n) >= fewEndsExplain*float64(allRecent)
 }
 
 // span returns the time between the first and the last of ends.
