Let another test follow one that ended without a result

What callers see: after its sentence a request or part stays refused for a further sentence if the one run that tests it is turned away by a full engine, given up by its caller, or interrupted by something else than the end of the engine. Cause: the time of the test was kept, as if the result were still to come. Change: such a run is no test. TestAbandonedTest failed before.

--- a/internal/limit/fatal/ledger.go
+++ b/internal/limit/fatal/ledger.go
@@ -419,6 +419,13 @@
 	return time.Time{}
 }
 
+// AbandonTest records that the test of a fingerprint ended without a result, so that another one may follow.
+func (l *Ledger) AbandonTest(fp qm.Fingerprint) {
+	if s := l.suspects[fp]; s != nil {
+		s.testedAt = time.Time{}
+	}
+}
+
 // Conviction is a request that is refused.
 type Conviction struct {
 	Fingerprint qm.Fingerprint
--- a/internal/limit/fatal/tracker.go
+++ b/internal/limit/fatal/tracker.go
@@ -153,6 +153,8 @@
 	endpoint     *qm.Endpoint
 	began        time.Time
 	stop         context.CancelCauseFunc
+	// tested are the fingerprints that the run tests after their sentence.
+	tested []qm.Fingerprint
 }
 
 // Begin returns a run of a request at an engine, and the fingerprint for which it must not run, 0 if it may. stop is called if it is
@@ -170,6 +172,7 @@
 	for _, fp := range fps {
 		if t.ledger.Verdict(fp, now) == OnTrial {
 			t.ledger.BeginTest(fp, now)
+			r.tested = append(r.tested, fp)
 			t.opts.Log.Info("convicted request runs as a test", logs.Fingerprint, formatFingerprint(fp), logs.Endpoint, e.ID)
 		}
 		if t.running[fp] == nil {
@@ -235,6 +238,14 @@
 	r.tracker.mu.Lock()
 	defer r.tracker.mu.Unlock()
 	r.remove()
+	r.abandonTests()
+}
+
+// abandonTests records that the run is no test of its fingerprints. The caller holds the tracker's lock.
+func (r *Run) abandonTests() {
+	for _, fp := range r.tested {
+		r.tracker.ledger.AbandonTest(fp)
+	}
 }
 
 // Interrupted records that the connection to the engine ended before the response was complete. If the engine has ended, the request is
@@ -248,6 +259,7 @@
 		return closed
 	}
 	if r.endpoint.State == qm.Leaving {
+		r.abandonTests()
 		t.logNotAccused([]*Run{r}, "the engine was leaving")
 		return closed
 	}
@@ -315,11 +327,11 @@
 	t.mu.Unlock()
 	if !errors.Is(err, syscall.ECONNREFUSED) {
 		// The connection was reset, or the engine can't be reached: neither shows that its process has ended.
-		t.logNotAccused(accused, "its port is open or can't be reached")
+		t.notAccused(accused, "its port is open or can't be reached")
 		return
 	}
 	if known := t.opts.Lookup(e.ID); known == nil || known.State == qm.Leaving || known.Incarnation != run.Incarnation {
-		t.logNotAccused(accused, "the engine leaves or was replaced")
+		t.notAccused(accused, "the engine leaves or was replaced")
 		return // a planned end
 	}
 	requests, fingerprints := identify(accused)
@@ -483,6 +495,16 @@
 	return requests, fingerprints
 }
 
+// notAccused ends runs at one engine whose interruption is not held against their requests.
+func (t *Tracker) notAccused(runs []*Run, cause string) {
+	t.mu.Lock()
+	for _, r := range runs {
+		r.abandonTests()
+	}
+	t.mu.Unlock()
+	t.logNotAccused(runs, cause)
+}
+
 // logNotAccused logs that the interruption of runs at one engine is not held against their requests.
 func (t *Tracker) logNotAccused(runs []*Run, cause string) {
 	requests, fingerprints := identify(runs)
--- a/internal/limit/fatal/tracker_test.go
+++ b/internal/limit/fatal/tracker_test.go
@@ -202,3 +202,21 @@
 		}
 	}
 }
+
+// TestAbandonedTest guards against refusing a request for another sentence because its test ended without a result, such as at a full engine.
+func TestAbandonedTest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRouters(t, 1, 4)
+		for _, id := range []qm.EndpointID{"e0", "e1"} {
+			r.end(id, r.mustBegin(t, 0, culprit, id))
+			time.Sleep(time.Second)
+		}
+		time.Sleep(40 * time.Second)
+		r.mustBegin(t, 0, culprit, "e2").Abandoned()
+		r.interrupt(r.mustBegin(t, 0, culprit, "e2"))
+		r.mustBegin(t, 0, culprit, "e3").Completed()
+		if diff := cmp.Diff([]bool{true}, r.mayRun(culprit)); diff != "" {
+			t.Errorf("after a test that completed (-want +got):\n%s", diff)
+		}
+	})
+}
