--- a/internal/limit/fatal/ledger.go
+++ b/internal/limit/fatal/ledger.go
@@ -1,12 +1,13 @@
 // Package fatal recognises what ends the engines that run it, whole requests and parts of prompts, and keeps it away from the engines.
 //
 // When an engine ends, each request that it ran is accused: the request as a whole and each part of its prompt that other requests may
-// share. A run that completes acquits all of them of earlier accusations. A request is convicted after two accusations if these are of
-// different requests and it explains most of the recent ends of engines, and after three if it explains a third of them: bystanders of a
-// crash are repeated elsewhere and succeed, those that are hit twice are a single request, and in a series of unrelated crashes no request
-// explains that many. A part needs three, because common parts run on most engines. What several suspects of one request explain equally
-// well convicts the most specific one, and what a convicted one explains does not count against others.
-// Routers exchange accusations, acquittals and convictions, so that all of them reach the same verdict.
+// share. Completed runs count for them: as many as accusations clear a suspect. A whole request is convicted after two accusations if these
+// are of different requests and it explains most of the recent ends of engines, and after three if it explains a third of them: bystanders of
+// a crash are repeated elsewhere and succeed, those that are hit twice are a single request, and in a series of unrelated crashes no request
+// explains that many. A part needs three, because common parts run on most engines, and one that completed lately must also have missed
+// the time in which it was due to complete again. Of the suspects of one request that explain the same ends, the one that completed least and
+// then the most specific one is convicted, and what a convicted one explains does not count against others.
+// Routers exchange accusations, completions and convictions, so that all of them reach the same verdict.
 //
 // Suspects are told apart by their fingerprints, which contain the team. A team can therefore not bring another team's request under
 // suspicion.
