Ignore reports without a fingerprint again

Since reports carry several fingerprints, one whose first is 0, which means none, was applied: the check looked at the number of fingerprints only. Found by reading the change; nothing sends such a report today. TestReportWithoutFingerprint failed before.

--- a/internal/limit/fatal/tracker.go
+++ b/internal/limit/fatal/tracker.go
@@ -348,7 +348,7 @@
 
 // ApplyReport applies a report of another router and reports whether it was new.
 func (t *Tracker) ApplyReport(r Report) bool {
-	if r.Age > maxReportAge || len(r.Fingerprints) == 0 {
+	if r.Age > maxReportAge || len(r.Fingerprints) == 0 || r.Fingerprints[0] == 0 {
 		return false
 	}
 	return t.apply(r, time.Now().Add(-r.Age))
--- a/internal/limit/fatal/tracker_test.go
+++ b/internal/limit/fatal/tracker_test.go
@@ -220,3 +220,15 @@
 		}
 	})
 }
+
+// TestReportWithoutFingerprint guards against accusing, by a report that names no request, all requests without a fingerprint.
+func TestReportWithoutFingerprint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRouters(t, 1, 1)
+		for _, fps := range [][]qm.Fingerprint{nil, {0}, {0, culprit}} {
+			if r.trackers[0].ApplyReport(fatal.Report{Kind: fatal.ReportConvicted, Fingerprints: fps, For: time.Minute}) {
+				t.Errorf("a report with the fingerprints %v was applied", fps)
+			}
+		}
+	})
+}
