Bound the parts of a prompt in the log line of a failed request

The line listed all parts but the last, thousands for a caller whose header has as many. It lists those that are told apart, at most 64; one function says which these are.

--- a/exchange.go
+++ b/exchange.go
@@ -79,11 +79,15 @@
 // handful of parts.
 const maxFingerprintParts = 64
 
-// Fingerprints returns the fingerprint of the whole exchange and those of the parts of its prompt that other exchanges may share, in order
-// and at most 64. The last part is not shared.
+// SharedSegments returns the parts of the prompt that other exchanges may share, at most 64: all but the last one.
+func (x *Exchange) SharedSegments() []PromptSegment {
+	return x.Segments[:min(max(len(x.Segments)-1, 0), maxFingerprintParts)]
+}
+
+// Fingerprints returns the fingerprint of the whole exchange and those of its SharedSegments, in order.
 func (x *Exchange) Fingerprints() []Fingerprint {
 	out := []Fingerprint{x.Fingerprint()}
-	for _, s := range x.Segments[:min(max(len(x.Segments)-1, 0), maxFingerprintParts)] {
+	for _, s := range x.SharedSegments() {
 		out = append(out, fingerprint("part", string(x.Team), string(x.Model), s.ID))
 	}
 	return out
--- a/exchange_test.go
+++ b/exchange_test.go
@@ -69,6 +69,9 @@
 	if got := exchange("t", "own").Fingerprints(); len(got) != 1 {
 		t.Errorf("%d fingerprints of a prompt without shared parts", len(got))
 	}
+	if got := exchange("t", make([]string, 10000)...).SharedSegments(); len(got) != 64 {
+		t.Errorf("%d shared segments of a prompt with 10,000 parts", len(got))
+	}
 	if got := exchange("t", make([]string, 10000)...).Fingerprints(); len(got) != 65 {
 		t.Errorf("%d fingerprints of a prompt with 10,000 parts", len(got))
 	}
--- a/internal/route/exchg/exchg.go
+++ b/internal/route/exchg/exchg.go
@@ -586,7 +586,7 @@
 // partIDs returns the IDs of the parts of the prompt that other requests may share, for the log.
 func partIDs(x *qm.Exchange) []string {
 	var out []string
-	for _, s := range x.Segments[:max(len(x.Segments)-1, 0)] {
+	for _, s := range x.SharedSegments() {
 		out = append(out, s.ID)
 	}
 	return out
