Look up endpoints by one function, and name a list of fingerprints so in the log

The line about an accused request that completed had its list under the key of a single fingerprint.

--- a/internal/limit/fatal/tracker.go
+++ b/internal/limit/fatal/tracker.go
@@ -217,7 +217,7 @@
 	}
 	t.mu.Unlock()
 	if len(acquitted) > 0 {
-		t.opts.Log.Info("accused request completed", logs.Fingerprint, formatFingerprints(acquitted), logs.Endpoint, r.endpoint.ID)
+		t.opts.Log.Info("accused request completed", "Fingerprints", formatFingerprints(acquitted), logs.Endpoint, r.endpoint.ID)
 		t.opts.Announce()
 	}
 }
--- a/internal/route/exchg/exchg.go
+++ b/internal/route/exchg/exchg.go
@@ -440,9 +440,8 @@
 		return false
 	}
 	all, _ := t.runner.deps.Board.Endpoints.Load()
-	return slices.ContainsFunc(all, func(known *qm.Endpoint) bool {
-		return known.ID == e.ID && known.State != qm.Leaving && known.Incarnation == e.Incarnation
-	})
+	known := all.Find(e.ID)
+	return known != nil && known.State != qm.Leaving && known.Incarnation == e.Incarnation
 }
 
 // placeAttempt selects the endpoint of the next attempt and registers the attempt with placement and health. It refuses the exchange if
--- a/views.go
+++ b/views.go
@@ -89,6 +89,16 @@
 // Endpoints is an immutable list of endpoints, sorted by ID.
 type Endpoints []*Endpoint
 
+// Find returns the endpoint with an ID, nil if there is none.
+func (e Endpoints) Find(id EndpointID) *Endpoint {
+	for _, known := range e {
+		if known.ID == id {
+			return known
+		}
+	}
+	return nil
+}
+
 // JoinVersions returns one ID for the weights of all models of an endpoint: the version of a single model, or a sorted list of
 // model=version pairs.
 func JoinVersions(models map[ModelID]VersionID) VersionID {
