Model bad parts on fleets that are ten times slower and five times faster

TestFatalPartOnSlowFleet and TestFatalPartOnFastFleet stand at the ends of the range of the times and counts in internal/limit/fatal.

--- a/internal/route/exchg/fleet_test.go
+++ b/internal/route/exchg/fleet_test.go
@@ -47,6 +47,8 @@
 	kind    qm.ExchangeKind
 	// length is the time with bad parts and crashes, after quietTime without.
 	length time.Duration
+	// slowness multiplies the time that a run takes; 0 means 1.
+	slowness float64
 	// justStarted leaves quietTime out.
 	justStarted bool
 }
@@ -168,6 +170,9 @@
 	if bad != "" {
 		took = 200 * time.Millisecond
 	}
+	if f.plan.slowness > 0 {
+		took = time.Duration(f.plan.slowness * float64(took))
+	}
 	if f.rnd.Float64() < f.plan.mayComplete {
 		bad = ""
 	}
@@ -205,10 +210,11 @@
 	if isBad {
 		parts[f.plan.badDepth] = fmt.Sprint(badPart, f.rnd.IntN(f.plan.badParts))
 	}
+	deadline := time.Duration(max(f.plan.slowness, 1) * float64(6*time.Second))
 	x := &qm.Exchange{
 		Request: qm.RequestID(fmt.Sprint("r", n)), Group: "g", Team: qm.TeamID(fmt.Sprint("t", team)), Method: http.MethodPost, Target: &url.URL{Path: "/a"},
 		Route:    &qm.Route{ID: "r", Kind: f.plan.kind, MaxAttempts: 2, LatencyObjective: 600 * time.Millisecond, MaxEventGap: 400 * time.Millisecond},
-		Received: now, CallerDeadline: now.Add(6 * time.Second), EffectiveDeadline: now.Add(6 * time.Second),
+		Received: now, CallerDeadline: now.Add(deadline), EffectiveDeadline: now.Add(deadline),
 	}
 	for _, id := range parts {
 		x.Segments = append(x.Segments, qm.PromptSegment{ID: id, Tokens: 1000})
@@ -448,3 +454,31 @@
 		}
 	}
 }
+
+// testSpeed runs fleets of the given slowness with a bad part, with routers that have just started too, and with crashes alone.
+func testSpeed(t *testing.T, slowness float64, length time.Duration) {
+	for name, plan := range map[string]fleetPlan{
+		"bad part":             {engines: 12, badParts: 1, badShare: 0.02},
+		"routers just started": {engines: 12, badParts: 1, badShare: 0.02, justStarted: true},
+		"crashes":              {engines: 9, crashesPerSecond: 1 / slowness},
+	} {
+		plan.routers, plan.perSecond, plan.badTeam, plan.badDepth = 6, int(96/slowness), 1, 1
+		plan.slowness, plan.length = slowness, length
+		for _, kind := range []qm.ExchangeKind{qm.Streaming, qm.Resumable} {
+			plan.kind = kind
+			t.Run(fmt.Sprintf("%s %s", name, kind), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newFleet(plan, 1)
+					f.run(t)
+					f.check(t)
+				})
+			})
+		}
+	}
+}
+
+// TestFatalPartOnFastFleet is TestFatalParts on a fleet whose runs take a fifth of the time and whose load is five times as high.
+func TestFatalPartOnFastFleet(t *testing.T) { testSpeed(t, 0.2, 10*time.Second) }
+
+// TestFatalPartOnSlowFleet is TestFatalParts on a fleet whose runs take ten times as long and whose load is a tenth.
+func TestFatalPartOnSlowFleet(t *testing.T) { testSpeed(t, 10, time.Minute) }
