Give parts that come seldom and run long the time to complete

Cause, from the accusations of the refused parts: (1) the time that a part must miss completions for was bounded at 3 s whatever its rate, so that one completion in 10 s counted like one a second; (2) completions were counted over 10 s, so that what completes once in 20 s seemed never to have completed; (3) routers that had just started assumed ten completions a second, where runs took 3 s; the mean of the first completed runs is too low for this too, because short runs complete first.

Change: completions count over 30 s; the bound of 3 s holds from the fifth end on; routers estimate the time that runs take, with runs in progress counted with the time that has passed, and a part whose completions are not known must miss them for that long and the time of a report. With unknown completions a part that completes in between is convicted from the fifth end on too.

Test first: TestRarePart and TestLongRuns fail on (convicted after three ends).

--- a/internal/limit/fatal/counts.go
+++ b/internal/limit/fatal/counts.go
@@ -8,9 +8,11 @@
 
 const (
 	// maxCounted bounds the fingerprints that are counted in one half of a window.
-	maxCounted = 4096
-	// unknownCompletions is the number of completions before a whole window has been counted.
+	maxCounted = 8192
+	// unknownCompletions is the number of completions before minCounted has passed.
 	unknownCompletions = -1
+	// minCounted is the time from which completions are counted for long enough.
+	minCounted = 10 * time.Second
 	// maxLatest is the number of latest completions that are kept of each fingerprint.
 	maxLatest = 4
 )
@@ -31,7 +33,7 @@
 // use.
 type counts struct {
 	half time.Duration
-	// full is the time from which a whole window has been counted.
+	// full is the time from which completions have been counted for long enough.
 	full time.Time
 	// began is the start of the current half.
 	began             time.Time
@@ -39,7 +41,10 @@
 }
 
 func newCounts(window time.Duration, now time.Time) *counts {
-	return &counts{half: window / 2, full: now.Add(window), current: make(map[qm.Fingerprint]*completions), previous: make(map[qm.Fingerprint]*completions)}
+	return &counts{
+		half: window / 2, full: now.Add(minCounted), began: now,
+		current: make(map[qm.Fingerprint]*completions), previous: make(map[qm.Fingerprint]*completions),
+	}
 }
 
 func (c *counts) add(fp qm.Fingerprint, request qm.RequestID, now time.Time) {
@@ -101,3 +106,30 @@
 		c.previous = make(map[qm.Fingerprint]*completions)
 	}
 }
+
+// durations estimates the mean time that runs take. Runs that are in progress or did not complete count with the time that has passed, so that
+// the estimate is not too low shortly after the start, when only short runs can have completed.
+type durations struct {
+	start     time.Time
+	completed int
+	// running is the number of runs in progress, began the sum of the times from start at which they began, ended the time of all others.
+	running      int
+	began, ended time.Duration
+}
+
+func (d *durations) begin(at time.Time) {
+	d.running++
+	d.began += at.Sub(d.start)
+}
+
+func (d *durations) end(began, now time.Time) {
+	d.running--
+	d.began -= began.Sub(d.start)
+	d.ended += now.Sub(began)
+}
+
+// mean returns the estimate at a time.
+func (d *durations) mean(now time.Time) time.Duration {
+	inProgress := time.Duration(d.running)*now.Sub(d.start) - d.began
+	return (d.ended + inProgress) / time.Duration(max(d.completed, 1))
+}
--- a/internal/limit/fatal/ledger.go
+++ b/internal/limit/fatal/ledger.go
@@ -38,15 +38,15 @@
 	// minUnexplained is the number of ends that no convicted suspect explains, from which a part that shares others with one is convicted.
 	minUnexplained = 2
 	// completionWindow is the time over which completions before an end are counted.
-	completionWindow = 10 * time.Second
+	completionWindow = 30 * time.Second
 	// expectedCompletions is the number of completions that a suspect misses before it is convicted although it completed before. A sound one
 	// misses three by chance once in twenty times.
 	expectedCompletions = 3
-	// assumedCompletions is the number of completions in completionWindow, ten a second, that is assumed of a suspect at routers that have just
-	// started.
-	assumedCompletions = 100
-	// maxSpan bounds that time for suspects that come seldom, of which few would run on several engines that end.
-	maxSpan = 3 * time.Second
+	// maxSpan bounds that time from decisiveEnds on: fewer ends can be chance if a suspect comes seldom and runs long.
+	maxSpan      = 3 * time.Second
+	decisiveEnds = 5
+	// reportTime is the time within which other routers hear of a completion.
+	reportTime = 300 * time.Millisecond
 	// endsPerCompletion is the number of ends for each completion meanwhile that a suspect must exceed by two to be convicted: one that ends
 	// engines only now and then completes in between. One that completed more often before than it ended engines is not convicted then.
 	endsPerCompletion = 2
@@ -109,6 +109,8 @@
 	suspects map[qm.Fingerprint]*suspect
 	// recent holds the recent ends of engines, whatever they ran.
 	recent []end
+	// runTime is the mean time that runs take.
+	runTime time.Duration
 }
 
 // NewLedger returns an empty Ledger.
@@ -288,11 +290,11 @@
 	if len(ends) == 0 || s.isPart && len(unexplained) < min(len(s.ends), minUnexplained) {
 		return false
 	}
-	if span(s.ends) < s.minSpan() {
+	if span(s.ends) < l.minSpan(s) {
 		return false
 	}
 	n := distinctEnds(ends)
-	if len(s.completed) > 0 && (n <= endsPerCompletion*len(s.completed)+1 || s.completedBefore > n || s.isUncounted) {
+	if len(s.completed) > 0 && (n <= endsPerCompletion*len(s.completed)+1 || s.completedBefore > n || s.isUncounted && n < decisiveEnds) {
 		return false
 	}
 	explained := float64(n) / float64(max(distinctEnds(recent), 1))
@@ -309,16 +311,20 @@
 	return slices.MaxFunc(ends, byTime).at.Sub(slices.MinFunc(ends, byTime).at)
 }
 
-// minSpan returns the time within which a suspect that is in use would have completed somewhere if it were sound.
-func (s *suspect) minSpan() time.Duration {
-	n := s.completedBefore
-	if s.isUncounted {
-		n = max(n, assumedCompletions)
-	}
-	if n == 0 {
+// minSpan returns the time within which a suspect that is in use would have completed somewhere if it were sound, and routers would know. If
+// its completions are not known, or after decisiveEnds, it is assumed that a run is always in progress, since several engines that ended ran it.
+func (l *Ledger) minSpan(s *suspect) time.Duration {
+	if s.completedBefore == 0 && !s.isUncounted {
 		return 0
 	}
-	return min(expectedCompletions*completionWindow/time.Duration(n), maxSpan)
+	d := l.runTime + reportTime
+	if s.completedBefore > 0 && len(s.ends) < decisiveEnds {
+		d = expectedCompletions*completionWindow/time.Duration(s.completedBefore) + reportTime
+	}
+	if len(s.ends) >= decisiveEnds {
+		d = min(d, maxSpan)
+	}
+	return d
 }
 
 // distinctEnds counts the ends of engines, simultaneous ones once, unless a run began after the engine before had ended.
@@ -335,6 +341,9 @@
 	return n
 }
 
+// SetRunTime sets the mean time that runs take.
+func (l *Ledger) SetRunTime(d time.Duration) { l.runTime = d }
+
 func (l *Ledger) recordEnd(run EndpointRun, at time.Time) {
 	if slices.ContainsFunc(l.recent, func(e end) bool { return e.run == run }) {
 		return
--- a/internal/limit/fatal/ledger_test.go
+++ b/internal/limit/fatal/ledger_test.go
@@ -261,6 +261,33 @@
 	}
 }
 
+// TestRarePart guards against refusing a part that comes seldom and whose few runs were all hit by crashes, and against sending on one that
+// completed before and ends engines now.
+func TestRarePart(t *testing.T) {
+	l := fatal.NewLedger()
+	for i := range 5 {
+		now := at(time.Duration(i) * 3 * time.Second)
+		fps := []qm.Fingerprint{qm.Fingerprint(100 + i), commonPart}
+		a := fatal.Accusation{Fingerprints: fps, Completions: []int{0, 1}, Request: newRequest(), Run: run(i), Began: now.Add(-2 * time.Second), At: now}
+		if _, convicted := l.Accuse(a); (convicted == commonPart) != (i == 4) {
+			t.Errorf("after %d ends: %d convicted", i+1, convicted)
+		}
+	}
+}
+
+// TestLongRuns guards against refusing a part at routers that have just started, before its runs had the time to complete.
+func TestLongRuns(t *testing.T) {
+	l := fatal.NewLedger()
+	l.SetRunTime(3 * time.Second)
+	for i, after := range []time.Duration{0, time.Second, 2 * time.Second, 4 * time.Second} {
+		fps := []qm.Fingerprint{qm.Fingerprint(100 + i), commonPart}
+		a := fatal.Accusation{Fingerprints: fps, Completions: []int{-1, -1}, Request: newRequest(), Run: run(i), Began: at(after - time.Second), At: at(after)}
+		if _, convicted := l.Accuse(a); (convicted == commonPart) != (i == 3) {
+			t.Errorf("after %d ends: %d convicted", i+1, convicted)
+		}
+	}
+}
+
 // TestTwoParts guards against a part that ends engines and is not found because another one does so at the same time.
 func TestTwoParts(t *testing.T) {
 	l := fatal.NewLedger()
--- a/internal/limit/fatal/tracker.go
+++ b/internal/limit/fatal/tracker.go
@@ -103,6 +103,7 @@
 	ledger *Ledger
 	// completions counts the runs at this router that completed lately.
 	completions *counts
+	durations   durations
 	running     map[qm.Fingerprint]map[*Run]bool
 	reports     []timedReport
 	// probes holds the engines that are being probed.
@@ -127,8 +128,9 @@
 		opts.Scope = tally.NoopScope
 	}
 	ctx, cancel := context.WithCancel(ctx)
+	now := time.Now()
 	t := &Tracker{
-		opts: opts, ctx: ctx, cancel: cancel, ledger: NewLedger(), completions: newCounts(completionWindow, time.Now()),
+		opts: opts, ctx: ctx, cancel: cancel, ledger: NewLedger(), completions: newCounts(completionWindow, now), durations: durations{start: now},
 		running: make(map[qm.Fingerprint]map[*Run]bool), probes: make(map[EndpointRun]*probe),
 	}
 	t.loop = period.New(ctx, repeatInterval, func(context.Context) { t.repeatConvictions(time.Now()) })
@@ -180,6 +182,7 @@
 		}
 		t.running[fp][r] = true
 	}
+	t.durations.begin(now)
 	return r, 0
 }
 
@@ -207,6 +210,7 @@
 	t.mu.Lock()
 	r.remove()
 	now := time.Now()
+	t.durations.completed++
 	for _, fp := range r.fingerprints {
 		t.completions.add(fp, r.request, now)
 	}
@@ -301,6 +305,7 @@
 
 // remove removes the run from those in progress. The caller holds the tracker's lock.
 func (r *Run) remove() {
+	r.tracker.durations.end(r.began, time.Now())
 	for _, fp := range r.fingerprints {
 		runs := r.tracker.running[fp]
 		delete(runs, r)
@@ -368,6 +373,7 @@
 		}
 		if isNew = t.ledger.Record(a); isNew {
 			t.acquitCompleted(r.Fingerprints, at)
+			t.ledger.SetRunTime(t.durations.mean(now))
 			convicted = t.ledger.Judge(a)
 		}
 	case ReportCompleted:
