Go on to the next address at once where a router is stopped, in the load generator

Cause, from the logs of the routers and the report: eleven attempts of the request were refused with 429, over 4.5 s, and the twelfth and last one went to entry-3 in the 15 ms between its end (14:01:18.749) and its new start (.764). A request counted as refused or as lost by its last attempt alone. No router lost anything.

Change: an attempt goes on to the next address if one doesn't accept the connection, as callers with several addresses do. A request is lost if its last attempt got no answer from any address. The test is stricter than before in return: at planned stops no advised address may refuse a connection, which was not checked.

--- a/internal/entry/e2e/e2e_test.go
+++ b/internal/entry/e2e/e2e_test.go
@@ -165,6 +165,9 @@
 	if summary.Unknown > 0 {
 		t.Errorf("%d calls with an unknown outcome; a planned stop finishes them", summary.Unknown)
 	}
+	if summary.AdvisedDown > 0 {
+		t.Errorf("%d connections were refused at an advised address; a router stops after the validity of its advice", summary.AdvisedDown)
+	}
 }
 
 // exitRefused is the exit code of the command line for a refused request.
--- a/internal/standin/loadgn/calls.go
+++ b/internal/standin/loadgn/calls.go
@@ -46,7 +46,7 @@
 			r.update(func(s *Summary) { s.Retried++ })
 			time.Sleep(min(time.Duration(attempt)*200*time.Millisecond, maxRetryDelay))
 		}
-		addresses := r.addresses(rec.team)
+		addresses, _ := r.addresses(rec.team)
 		retry := r.attemptCall(rec, addresses[attempt%len(addresses)], n, ref, key)
 		if !retry {
 			return
@@ -160,7 +160,7 @@
 	for range maxRounds {
 		unresolved := 0
 		for _, rec := range r.unresolved() {
-			addresses := r.addresses(rec.team)
+			addresses, _ := r.addresses(rec.team)
 			url := fmt.Sprintf("http://%s/v1/services/%s/operations/%s", addresses[0], r.opts.Service, rec.operation)
 			var answer struct{ Outcome qm.Outcome }
 			status, err := r.doJSON(rec.team, http.MethodGet, url, "", nil, &answer)
--- a/internal/standin/loadgn/chat.go
+++ b/internal/standin/loadgn/chat.go
@@ -46,8 +46,7 @@
 			r.update(func(s *Summary) { s.Retried++ })
 			time.Sleep(min(time.Duration(attempt)*100*time.Millisecond, maxRetryDelay))
 		}
-		addresses := r.addresses(t)
-		err = r.attemptCompletion(t, addresses[attempt%len(addresses)], p, body)
+		err = r.attemptAnywhere(t, attempt, p, body)
 		if errors.Is(err, errTruncated) || errors.Is(err, errWrongAnswer) {
 			r.update(func(s *Summary) {
 				s.addFailure("completion %d of %s: %v", n, t.Name, err)
@@ -75,6 +74,25 @@
 	})
 }
 
+// attemptAnywhere sends a completion once, to the first address that accepts the connection, from the one whose turn it is.
+func (r *Run) attemptAnywhere(t Team, attempt int, p prompt, body []byte) error {
+	addresses, advised := r.addresses(t)
+	var err error
+	for i := range addresses {
+		at := (attempt + i) % len(addresses)
+		if err = r.attemptCompletion(t, addresses[at], p, body); !isDialError(err) {
+			return err
+		}
+		if at < advised {
+			r.update(func(s *Summary) {
+				s.AdvisedDown++
+				s.addFailure("advised address: %v", err)
+			})
+		}
+	}
+	return err
+}
+
 // skewedIndex returns a random index below n. Low indexes are more frequent than high ones.
 func (r *Run) skewedIndex(n int) int {
 	r.mu.Lock()
@@ -92,6 +110,9 @@
 	req.Header.Set("Authorization", "Bearer "+t.Key)
 	req.Header.Set("Content-Type", "application/json")
 	res, err := r.client.Do(req)
+	if isDialError(err) {
+		return err
+	}
 	if err != nil {
 		return errors.WithMessage(errFailed, err.Error())
 	}
--- a/internal/standin/loadgn/entries.go
+++ b/internal/standin/loadgn/entries.go
@@ -12,9 +12,9 @@
 	validUntil time.Time
 }
 
-// addresses returns the addresses to try for a team in order of preference: those of valid advice, then the configured
-// entries in rotation from a random one. It fetches new advice if the current one has expired.
-func (r *Run) addresses(t Team) []string {
+// addresses returns the addresses to try for a team in order of preference, and how many of them are advised: those of valid
+// advice come first, then the configured entries in rotation from a random one. It fetches new advice if the current one has expired.
+func (r *Run) addresses(t Team) (addresses []string, advised int) {
 	r.mu.Lock()
 	a := r.advice[t.Name]
 	start := r.rnd.IntN(len(r.opts.Entries))
@@ -26,7 +26,7 @@
 	if time.Now().After(a.validUntil) {
 		a = r.fetchAdvice(t, entries)
 	}
-	return append(append([]string(nil), a.addresses...), entries...)
+	return append(append([]string(nil), a.addresses...), entries...), len(a.addresses)
 }
 
 // fetchAdvice fetches and stores new advice from the first address that answers. It returns empty advice if none does.
--- a/internal/standin/loadgn/loadgn.go
+++ b/internal/standin/loadgn/loadgn.go
@@ -57,6 +57,8 @@
 	Short, Wrong int64
 	// Retried counts the retries by callers.
 	Retried int64
+	// AdvisedDown is the number of connections that an address of valid advice didn't accept.
+	AdvisedDown int64
 	// Prompt is the number of tokens in all prompts, and Cached the number of those that were cached on the engine. HitRate is
 	// Cached divided by Prompt.
 	Prompt, Cached int64
--- a/internal/standin/loadgn/report.go
+++ b/internal/standin/loadgn/report.go
@@ -27,6 +27,7 @@
 	s.Short += other.Short
 	s.Wrong += other.Wrong
 	s.Retried += other.Retried
+	s.AdvisedDown += other.AdvisedDown
 	s.Prompt += other.Prompt
 	s.Cached += other.Cached
 	s.Recomputed += other.Recomputed
