Leave whole requests and bursts of ends as they were judged before

Cause, from the log lines of these plays: routers had run for less than 10 s when the first engine ended. A whole request that ends engines then had to miss completions for the time of a run as parts do, so that it was convicted one end later; and common parts with five ends within 1.4 s were convicted after the time of a run instead of 3 s.

Change: both as before, for a part that is known to have completed and for whole requests.

--- a/internal/limit/fatal/ledger.go
+++ b/internal/limit/fatal/ledger.go
@@ -312,16 +312,20 @@
 }
 
 // minSpan returns the time within which a suspect that is in use would have completed somewhere if it were sound, and routers would know. If
-// its completions are not known, or after decisiveEnds, it is assumed that a run is always in progress, since several engines that ended ran it.
+// the completions of a part are not known, it is assumed that a run is always in progress, since several engines that ended ran it. Whole
+// requests seldom complete more than once.
 func (l *Ledger) minSpan(s *suspect) time.Duration {
 	if s.completedBefore == 0 && !s.isUncounted {
 		return 0
 	}
-	d := l.runTime + reportTime
-	if s.completedBefore > 0 && len(s.ends) < decisiveEnds {
-		d = expectedCompletions*completionWindow/time.Duration(s.completedBefore) + reportTime
+	d := reportTime
+	switch {
+	case s.completedBefore > 0:
+		d += expectedCompletions * completionWindow / time.Duration(s.completedBefore)
+	case s.isPart:
+		d += l.runTime
 	}
-	if len(s.ends) >= decisiveEnds {
+	if len(s.ends) >= decisiveEnds || !s.isPart {
 		d = min(d, maxSpan)
 	}
 	return d
