--- a/exchange.go
+++ b/exchange.go
@@ -97,11 +97,16 @@
 func fingerprint(values ...string) Fingerprint {
 	var h xxhash.Digest
 	h.Reset()
+	writeValues(&h, values...)
+	return Fingerprint(h.Sum64())
+}
+
+// writeValues adds values to a hash so that none runs into the next one.
+func writeValues(h *xxhash.Digest, values ...string) {
 	for _, v := range values {
 		_, _ = h.WriteString(v)
 		_, _ = h.Write([]byte{0})
 	}
-	return Fingerprint(h.Sum64())
 }
 
 // Fingerprint returns a hash of the team and of what the endpoint is asked to do: the model and the prompt, or the method, the target and
@@ -109,20 +114,12 @@
 func (x *Exchange) Fingerprint() Fingerprint {
 	var h xxhash.Digest
 	h.Reset()
-	write := func(s string) {
-		_, _ = h.WriteString(s)
-		_, _ = h.Write([]byte{0})
-	}
-	write(string(x.Team))
-	write(string(x.Group))
-	write(string(x.Model))
+	writeValues(&h, string(x.Team), string(x.Group), string(x.Model))
 	for _, s := range x.Segments {
-		write(s.ID)
-		write(strconv.FormatInt(int64(s.Tokens), 10))
+		writeValues(&h, s.ID, strconv.FormatInt(int64(s.Tokens), 10))
 	}
 	if len(x.Segments) == 0 {
-		write(x.Method)
-		write(x.Target.String())
+		writeValues(&h, x.Method, x.Target.String())
 		_, _ = h.Write(x.Body)
 	}
 	return Fingerprint(h.Sum64())
