Keep the estimate of the time that runs take over years

Its sum had no bound: after 106 days with a thousand runs at a time it would have overflowed, and the estimate would have been too low for routers that judge the reports of one that has just started. It also hardly followed a change. Found by reading.

--- a/internal/limit/fatal/ledger.go
+++ b/internal/limit/fatal/ledger.go
@@ -42,10 +42,10 @@
 	// expectedCompletions is the number of completions that a suspect misses before it is convicted although it completed before. A sound one
 	// misses three by chance once in twenty times.
 	expectedCompletions = 3
-	// decisiveEnds is the number of ends from which maxSpan bounds that time, as it does for whole requests: fewer ends can be chance if a part
-	// comes seldom and runs long.
+	// decisiveEnds is the number of ends of a part from which maxSpan bounds that time: fewer can be chance if it comes seldom and runs long.
 	decisiveEnds = 5
-	maxSpan      = 3 * time.Second
+	// maxSpan is the longest time without a completion that a part with decisiveEnds, or a whole request, needs for a conviction.
+	maxSpan = 3 * time.Second
 	// reportTime is the time within which other routers hear of a completion.
 	reportTime = 300 * time.Millisecond
 	// endsPerCompletion is the number of ends for each completion meanwhile that a suspect must exceed by two to be convicted: one that ends
--- a/internal/limit/fatal/tracker.go
+++ b/internal/limit/fatal/tracker.go
@@ -210,7 +210,7 @@
 	t.mu.Lock()
 	r.remove()
 	now := time.Now()
-	t.durations.completed++
+	t.durations.complete()
 	for _, fp := range r.fingerprints {
 		t.completions.add(fp, r.request, now)
 	}
