--- a/internal/limit/fatal/tracker_test.go
+++ b/internal/limit/fatal/tracker_test.go
@@ -96,6 +96,15 @@
 	return run
 }
 
+// convictCulprit lets culprit end e0 and e1 at the first router.
+func (r *routers) convictCulprit(t *testing.T) {
+	t.Helper()
+	for _, id := range []qm.EndpointID{"e0", "e1"} {
+		r.end(id, r.mustBegin(t, 0, culprit, id))
+		time.Sleep(time.Second)
+	}
+}
+
 // TestSharedConviction guards against a request that callers repeat at several routers: two ends of engines convict it at all of them, also
 // if each router saw only one, and the runs in progress are stopped.
 func TestSharedConviction(t *testing.T) {
@@ -168,10 +177,7 @@
 func TestLateRouter(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRouters(t, 1, 3)
-		for _, id := range []qm.EndpointID{"e0", "e1"} {
-			r.end(id, r.mustBegin(t, 0, culprit, id))
-			time.Sleep(time.Second)
-		}
+		r.convictCulprit(t)
 		time.Sleep(3 * time.Second)
 		got := r.trackers[0].TakeReports()
 		want := []fatal.Report{{Kind: fatal.ReportConvicted, Fingerprints: []qm.Fingerprint{culprit}, For: 27 * time.Second}}
@@ -207,10 +213,7 @@
 func TestAbandonedTest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRouters(t, 1, 4)
-		for _, id := range []qm.EndpointID{"e0", "e1"} {
-			r.end(id, r.mustBegin(t, 0, culprit, id))
-			time.Sleep(time.Second)
-		}
+		r.convictCulprit(t)
 		time.Sleep(40 * time.Second)
 		r.mustBegin(t, 0, culprit, "e2").Abandoned()
 		r.interrupt(r.mustBegin(t, 0, culprit, "e2"))
--- a/internal/route/exchg/fatal_test.go
+++ b/internal/route/exchg/fatal_test.go
@@ -155,6 +155,15 @@
 	})
 }
 
+// newPoison returns the n-th request that ends its engine.
+func newPoison(n int) *qm.Exchange {
+	now := time.Now()
+	return &qm.Exchange{
+		Request: qm.RequestID(fmt.Sprint(n)), Route: &qm.Route{ID: "r", Kind: qm.NonIdempotent, MaxAttempts: 1}, Group: "g", Team: "t", Method: "POST",
+		Target: &url.URL{Path: "/a"}, Body: []byte("poison"), Received: now, CallerDeadline: now.Add(time.Minute), EffectiveDeadline: now.Add(time.Minute),
+	}
+}
+
 // TestErrorAcquitsNobody guards against a request that ends engines and is cleared again and again because other engines answer it with an error
 // before they run it.
 func TestErrorAcquitsNobody(t *testing.T) {
@@ -167,11 +176,7 @@
 		runner := exchg.New(deps)
 		send := func(n int) error {
 			time.Sleep(time.Second)
-			now := time.Now()
-			return runner.Run(t.Context(), &qm.Exchange{
-				Request: qm.RequestID(fmt.Sprint(n)), Route: &qm.Route{ID: "r", Kind: qm.NonIdempotent, MaxAttempts: 1}, Group: "g", Team: "t", Method: "POST",
-				Target: &url.URL{Path: "/a"}, Body: []byte("poison"), Received: now, CallerDeadline: now.Add(time.Minute), EffectiveDeadline: now.Add(time.Minute),
-			}, &recorder{})
+			return runner.Run(t.Context(), newPoison(n), &recorder{})
 		}
 		for n := range 2 {
 			client.status = 0
@@ -200,11 +205,7 @@
 		var err error
 		for n := range 3 {
 			time.Sleep(time.Second)
-			now := time.Now()
-			err = runner.Run(t.Context(), &qm.Exchange{
-				Request: qm.RequestID(fmt.Sprint(n)), Route: &qm.Route{ID: "r", Kind: qm.NonIdempotent, MaxAttempts: 1}, Group: "g", Team: "t", Method: "POST",
-				Target: &url.URL{Path: "/a"}, Body: []byte("poison"), Received: now, CallerDeadline: now.Add(time.Minute), EffectiveDeadline: now.Add(time.Minute),
-			}, &recorder{})
+			err = runner.Run(t.Context(), newPoison(n), &recorder{})
 		}
 		if err == nil || qm.AsError(err).Code != qm.CodeFatalRequest {
 			t.Errorf("after %d ends of suspect engines: %v, want a refusal", len(client.ended), err)
