--- a/internal/entry/server/adapt.go
+++ b/internal/entry/server/adapt.go
@@ -52,12 +52,6 @@
 	}
 }
 
-// lookUpEndpoint returns what is known of an endpoint, nil if it is not listed.
-func (c *components) lookUpEndpoint(id qm.EndpointID) *qm.Endpoint {
-	endpoints, _ := c.board.Endpoints.Load()
-	return endpoints.Find(id)
-}
-
 // owns reports whether this instance performs the named control duty, such as "config". All instances that see the same live members
 // choose the same owner.
 func (c *components) owns(duty string) bool {
--- a/internal/entry/server/components.go
+++ b/internal/entry/server/components.go
@@ -186,7 +186,7 @@
 	c.adviser = advice.New(c.board, advice.Options{Validity: c.settings.AdviceValidity})
 	self := qm.InstanceID(c.settings.Instance)
 	c.fatal = fatal.New(ctx, fatal.Options{
-		Probe: pool.Probe, Lookup: c.lookUpEndpoint, Announce: func() { c.peer.TriggerRound() }, Scope: c.meter.Scope(), Log: c.log.WithName("fatal"),
+		Probe: pool.Probe, Lookup: c.board.Endpoint, Announce: func() { c.peer.TriggerRound() }, Scope: c.meter.Scope(), Log: c.log.WithName("fatal"),
 		IsFirst: func(fp qm.Fingerprint) bool {
 			members, _ := c.board.Members.Load()
 			return fatal.IsFirst(members, self, fp)
--- a/internal/limit/fatal/tracker.go
+++ b/internal/limit/fatal/tracker.go
@@ -335,7 +335,7 @@
 		t.notAccused(accused, "its port is open or can't be reached")
 		return
 	}
-	if known := t.opts.Lookup(e.ID); known == nil || known.State == qm.Leaving || known.Incarnation != run.Incarnation {
+	if !e.IsExpected(t.opts.Lookup(e.ID)) {
 		t.notAccused(accused, "the engine leaves or was replaced")
 		return // a planned end
 	}
--- a/internal/route/exchg/exchg.go
+++ b/internal/route/exchg/exchg.go
@@ -52,9 +52,8 @@
 	Pauses *pause.Table
 	// Fatal recognises requests that end engines; nil for none.
 	Fatal *fatal.Tracker
-	// Probe connects to an endpoint. It returns an error that wraps ECONNREFUSED if no process listens there. It tells whether the endpoint
-	// of a response that ends with its connection has ended; nil if such responses are always whole.
-	Probe func(context.Context, *qm.Endpoint) error
+	// Probe tells whether the endpoint of a response that ends with its connection has ended; nil if such responses are always whole.
+	Probe fatal.ProbeFunc
 	// RetryBudget bounds the retries at each group of endpoints over all routers.
 	RetryBudget *retry.GroupBudget
 	Observer    Observer
@@ -439,9 +438,7 @@
 	if !errors.Is(t.runner.deps.Probe(ctx, e), syscall.ECONNREFUSED) {
 		return false
 	}
-	all, _ := t.runner.deps.Board.Endpoints.Load()
-	known := all.Find(e.ID)
-	return known != nil && known.State != qm.Leaving && known.Incarnation == e.Incarnation
+	return e.IsExpected(t.runner.deps.Board.Endpoint(e.ID))
 }
 
 // placeAttempt selects the endpoint of the next attempt and registers the attempt with placement and health. It refuses the exchange if
--- a/internal/state/board/board.go
+++ b/internal/state/board/board.go
@@ -76,3 +76,9 @@
 	v, _ := b.Leaving.Load()
 	return v
 }
+
+// Endpoint returns what is known of an endpoint, nil if it is not listed.
+func (b *Board) Endpoint(id qm.EndpointID) *qm.Endpoint {
+	endpoints, _ := b.Endpoints.Load()
+	return endpoints.Find(id)
+}
--- a/views.go
+++ b/views.go
@@ -99,6 +99,12 @@
 	return nil
 }
 
+// IsExpected reports whether the process that was seen as e should still be running by what is known of the endpoint now, nil if it is not
+// listed any more: it is neither leaving nor replaced.
+func (e *Endpoint) IsExpected(known *Endpoint) bool {
+	return known != nil && known.State != Leaving && known.Incarnation == e.Incarnation
+}
+
 // JoinVersions returns one ID for the weights of all models of an endpoint: the version of a single model, or a sorted list of
 // model=version pairs.
 func JoinVersions(models map[ModelID]VersionID) VersionID {
