Wait for the tick before a pause in TestPausedHome

The code that it tests was not changed.

Cause: the test sleeps for a multiple of the tick and then sets the time of the last tick back. The limiter's tick of the same instant may run between or behind that and store its own time, so that there was no pause.

Change: the test waits until the tick of that instant is over.

--- a/internal/limit/share/state_test.go
+++ b/internal/limit/share/state_test.go
@@ -44,6 +44,7 @@
 		l := newSingle(t, tm)
 		defer l.Close()
 		time.Sleep(time.Minute)
+		synctest.Wait() // the tick of this instant would otherwise hide the pause
 		ask := &peerpb.BorrowRequest{Instance: "r2", Wants: []*peerpb.BorrowItem{{Team: "a", Dimension: "Requests", Units: 5}}}
 		lent := func() float64 {
 			r, err := l.Lend(t.Context(), ask)
