--- a/review/rig/engine.go
+++ b/review/rig/engine.go
@@ -23,6 +23,8 @@
 	gap    time.Duration
 	// unframed makes answers have neither a length nor chunks, so that they end with their connection.
 	unframed bool
+	// deadly is the ID of a part of a prompt that ends the process as it begins to write an answer on it.
+	deadly string
 }
 
 // engineEvent is a line that an engine process prints.
@@ -63,6 +65,7 @@
 	f.StringVar(&o.model, "model", "", "model, empty for a plain service")
 	f.IntVar(&o.pieces, "pieces", 10, "events of a stream")
 	f.DurationVar(&o.gap, "gap", 20*time.Millisecond, "time between events, or of a plain answer")
+	f.StringVar(&o.deadly, "deadly", "", "part that ends the process")
 	f.BoolVar(&o.unframed, "unframed", false, "answers end with their connection")
 	if err := f.Parse(args); err != nil {
 		return err
@@ -111,6 +114,11 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if e.opts.deadly != "" && strings.Contains(r.Header.Get("Quetzalmount-Prompt-Prefix"), e.opts.deadly+":") {
+		e.emit("crashes", id, "tenant %q", r.Header.Get("Quetzalmount-Tenant"))
+		time.Sleep(e.opts.gap)
+		os.Exit(3)
+	}
 	e.emit("runs", id, "")
 	e.useCache(r, id)
 	h.Set("Quetzalmount-Response-Seal", "seal."+e.opts.id)
