--- a/review/rig/deadly.go
+++ b/review/rig/deadly.go
@@ -14,7 +14,7 @@
 	deadlyTime = 20 * time.Second
 )
 
-// deadly: one part of a prompt, which requests of all tenants share, ends each engine that begins to write an answer on it.
+// deadly: one first part of prompts, which requests of all tenants share, ends each engine that begins to write an answer on it.
 func deadly(f *fleet, trouble bool) error {
 	const (
 		engines = 8
@@ -72,13 +72,13 @@
 	deadlySent := 0
 	for i := 0; time.Since(began) < deadlyTime; i++ {
 		t := i % tenants
-		middle := fmt.Sprintf("c%d", t)
+		first := "a0"
 		if trouble && float64(deadlySent) < share*float64(i) {
-			middle = deadlyPart
+			first = deadlyPart
 			deadlySent++
 		}
 		q := request{
-			id: fmt.Sprintf("%s-%d", middle, i), path: "/sort/x", key: all[t].key, prefix: fmt.Sprintf("a0:600,%s:300,o%d:100", middle, i),
+			id: fmt.Sprintf("%s-%d", first, i), path: "/sort/x", key: all[t].key, prefix: fmt.Sprintf("%s:600,c%d:300,o%d:100", first, t, i),
 			body: []byte("receipts"), deadline: 6 * time.Second,
 		}
 		wg.Go(func() { f.send(routers[i/tenants%len(routers)], q) })
