Log whether a connection was reused and whether a request was sent there before

The attempts in the lines of requests have Reused and SentBefore, a counter has the responses that belong to other requests, and one error names them on both paths. No decision uses them yet.

--- a/errors.go
+++ b/errors.go
@@ -180,3 +180,6 @@
 
 // ErrNotAppended is wrapped by the errors of appends that certainly had no effect, such as rate-limited or unsent ones.
 var ErrNotAppended = errors.New("record not appended")
+
+// ErrWrongRequest is wrapped by errors about a response that belongs to another request than the one it was received for.
+var ErrWrongRequest = errors.New("answer belongs to another request")
--- a/exchange.go
+++ b/exchange.go
@@ -171,6 +171,15 @@
 	CacheStore *Endpoint
 	// EndpointPriority is the exchange's priority in the endpoint's queue, from 0 to 9; 0 is the highest.
 	EndpointPriority int
+	// Conn is set by the client to what is known of the attempt's connection; nil if that is of no interest.
+	Conn *ConnUse
+}
+
+// ConnUse describes the use of a connection by an attempt.
+type ConnUse struct {
+	// Reused reports whether the connection had carried other requests, and SentBefore whether a request with the same ID was sent to the
+	// endpoint's address recently.
+	Reused, SentBefore bool
 }
 
 // Response is an endpoint's response to an ExchangeAttempt. The receiver closes Body.
--- a/internal/client/carry/carry.go
+++ b/internal/client/carry/carry.go
@@ -77,7 +77,7 @@
 	if _, ok := h["User-Agent"]; !ok {
 		h["User-Agent"] = nil // keeps net/http from adding its own
 	}
-	var trace pool.Trace
+	trace := pool.Trace{ID: string(x.Request)}
 	req := (&http.Request{
 		Method: x.Method, Host: x.Host, Header: h, ContentLength: int64(len(x.Body)),
 		URL: &url.URL{
@@ -90,6 +90,9 @@
 		req.Body = io.NopCloser(bytes.NewReader(x.Body))
 	}
 	resp, err := c.transportFor(x).RoundTrip(req)
+	if o.Conn != nil {
+		*o.Conn = qm.ConnUse{Reused: trace.Reused(), SentBefore: trace.SentBefore()}
+	}
 	if err != nil {
 		if !trace.Sent() {
 			return nil, qm.Refuse(qm.CodeEndpointUnreached, "connect", "no connection: %v", err).WithPeer(o.Endpoint.Address).WithCause(err)
--- a/internal/client/engine/chunk.go
+++ b/internal/client/engine/chunk.go
@@ -18,7 +18,7 @@
 	usage   *qm.Usage
 }
 
-// decodeChunk decodes an event of the stream of request id. The error wraps errWrongRequest if the chunk has another id.
+// decodeChunk decodes an event of the stream of request id. The error wraps quetzalmount.ErrWrongRequest if the chunk has another id.
 func decodeChunk(e event, id qm.RequestID) (qm.Chunk, error) {
 	if e.id < 0 {
 		return qm.Chunk{}, errors.New("chunk has no number")
@@ -32,7 +32,7 @@
 		return qm.Chunk{}, errors.Errorf("chunk %d has data after its end", e.id)
 	}
 	if w.id != id {
-		return qm.Chunk{}, errors.Wrapf(errWrongRequest, "chunk %d has id %q", e.id, w.id)
+		return qm.Chunk{}, errors.Wrapf(qm.ErrWrongRequest, "chunk %d has id %q", e.id, w.id)
 	}
 	if w.choices != 1 {
 		return qm.Chunk{}, errors.Errorf("chunk %d has %d choices", e.id, w.choices)
--- a/internal/client/engine/engine.go
+++ b/internal/client/engine/engine.go
@@ -116,7 +116,7 @@
 // open sends req and returns a reader once the engine has sent the response headers. ctx limits only the wait for the
 // headers; cancel ends the stream.
 func (c *Client) open(ctx context.Context, h *http.Client, req *http.Request, cancel context.CancelFunc, step string, e *qm.Endpoint, id qm.RequestID) (qm.ChunkReader, error) {
-	trace := &pool.Trace{}
+	trace := &pool.Trace{ID: string(id)}
 	stop := context.AfterFunc(ctx, cancel)
 	resp, err := h.Do(req.WithContext(trace.Context(req.Context())))
 	if !stop() && err == nil {
@@ -131,7 +131,7 @@
 		cancel()
 		_ = resp.Body.Close()
 		trace.CloseConns()
-		return nil, qm.Fail(qm.CodeEndpointFailed, step, e.Address, errors.Wrapf(errWrongRequest, "answer has id %q", got))
+		return nil, qm.Fail(qm.CodeEndpointFailed, step, e.Address, errors.Wrapf(qm.ErrWrongRequest, "answer has id %q", got))
 	}
 	if resp.StatusCode != http.StatusOK {
 		defer cancel()
--- a/internal/client/engine/reader.go
+++ b/internal/client/engine/reader.go
@@ -12,9 +12,6 @@
 	"quetzalmount.dev/quetzalmount/internal/client/pool"
 )
 
-// errWrongRequest is returned if a response or a chunk belongs to another request.
-var errWrongRequest = errors.New("answer belongs to another request")
-
 // reader implements quetzalmount.ChunkReader.
 type reader struct {
 	resp        *http.Response
@@ -58,7 +55,7 @@
 		return qm.Chunk{}, io.EOF
 	}
 	c, err := decodeChunk(e, r.id)
-	if errors.Is(err, errWrongRequest) {
+	if errors.Is(err, qm.ErrWrongRequest) {
 		r.trace.CloseConns()
 	}
 	r.finished = r.finished || c.FinishReason != ""
--- a/internal/client/plain/plain.go
+++ b/internal/client/plain/plain.go
@@ -19,9 +19,6 @@
 	"quetzalmount.dev/quetzalmount/internal/route/retry"
 )
 
-// errWrongRequest is returned if a response carries the ID of another request.
-var errWrongRequest = errors.New("answer belongs to another request")
-
 // Client calls any number of services. It is safe for concurrent use.
 type Client struct {
 	pool     *pool.Pool
@@ -110,7 +107,7 @@
 
 // roundTrip sends req once and returns the status and body of the response if it carries the request's id and is whole.
 func (c *Client) roundTrip(h *http.Client, req *http.Request, step string, e *qm.Endpoint, id string) (int, []byte, error) {
-	var trace pool.Trace
+	trace := pool.Trace{ID: id}
 	ctx := req.Context()
 	resp, err := h.Do(req.WithContext(trace.Context(ctx)))
 	if err != nil {
@@ -126,7 +123,7 @@
 	if got := resp.Header.Get("X-Request-Id"); got != id {
 		trace.CloseConns()
 		_ = resp.Body.Close()
-		return 0, nil, qm.Fail(qm.CodeEndpointFailed, step, e.Address, errors.Wrapf(errWrongRequest, "answer has id %q, want %q", got, id))
+		return 0, nil, qm.Fail(qm.CodeEndpointFailed, step, e.Address, errors.Wrapf(qm.ErrWrongRequest, "answer has id %q, want %q", got, id))
 	}
 	body, err := pool.ReadAll(resp, pool.EndpointBudget)
 	if err == nil && ending.EndsWithConnection(resp) {
--- a/internal/client/pool/pool.go
+++ b/internal/client/pool/pool.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	qm "quetzalmount.dev/quetzalmount"
@@ -53,9 +54,27 @@
 
 	unpooled *http.Transport
 
-	mu        sync.Mutex
-	current   *http.Transport
+	mu      sync.Mutex
+	current *generation
+}
+
+// generation is the transport for the connections that a Pool opens within MaxAge.
+type generation struct {
+	transport *http.Transport
 	createdAt time.Time
+	// sends counts the requests with an ID by the hash of the ID and the address.
+	sends map[uint64]int
+}
+
+// maxCountedSends limits the requests that a generation counts. A router at the target size sends about 750 requests a minute.
+const maxCountedSends = 1 << 15
+
+// countSend records that a request with an ID is sent to an address, and returns the number of earlier ones.
+func (g *generation) countSend(address, id string) int {
+	key := xxhash.Sum64String(address + " " + id)
+	n := g.sends[key]
+	g.sends[key] = n + 1
+	return n
 }
 
 // New returns a pool without connections.
@@ -110,27 +129,36 @@
 
 // RoundTrip implements http.RoundTripper over pooled connections.
 func (p *Pool) RoundTrip(r *http.Request) (*http.Response, error) {
-	return p.currentTransport().RoundTrip(r)
+	return p.transportFor(r).RoundTrip(r)
 }
 
 // Unpooled returns a transport that opens a new connection for each request. The peer cannot have closed a new connection
 // as idle, and net/http does not retry a request that failed on one.
 func (p *Pool) Unpooled() http.RoundTripper { return p.unpooled }
 
-// currentTransport returns the transport for new requests, after replacing one that is older than MaxAge.
-func (p *Pool) currentTransport() *http.Transport {
+// transportFor returns the transport for a request, and records in its Trace whether it is sent for the first time.
+func (p *Pool) transportFor(r *http.Request) *http.Transport {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	g := p.currentGeneration()
+	if t := traceOf(r.Context()); t != nil && t.ID != "" {
+		t.setSentBefore(g.countSend(r.URL.Host, t.ID))
+	}
+	return g.transport
+}
+
+// currentGeneration returns the generation for new requests. The caller holds p.mu.
+func (p *Pool) currentGeneration() *generation {
 	now := time.Now()
-	if p.current != nil && now.Sub(p.createdAt) < p.opts.MaxAge {
+	if p.current != nil && now.Sub(p.current.createdAt) < p.opts.MaxAge && len(p.current.sends) < maxCountedSends {
 		return p.current
 	}
 	if p.current != nil {
 		// After CloseIdleConnections a transport without new requests keeps no connection alive, so those in use are closed
 		// when their requests end.
-		p.current.CloseIdleConnections()
+		p.current.transport.CloseIdleConnections()
 	}
-	p.current, p.createdAt = p.newTransport(), now
+	p.current = &generation{transport: p.newTransport(), createdAt: now, sends: map[uint64]int{}}
 	return p.current
 }
 
@@ -139,7 +167,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.current != nil {
-		p.current.CloseIdleConnections()
+		p.current.transport.CloseIdleConnections()
 	}
 	p.unpooled.CloseIdleConnections()
 }
--- a/internal/client/pool/trace.go
+++ b/internal/client/pool/trace.go
@@ -59,12 +59,26 @@
 
 // Trace records the connections that a Pool used for one request.
 type Trace struct {
+	// ID identifies the request in its response. It is empty if the response does not carry an ID.
+	ID string
+
 	mu   sync.Mutex
 	uses []connUse
+	// sentBefore is the number of earlier requests with the same ID to the same address.
+	sentBefore int
+}
+
+type traceKey struct{}
+
+// traceOf returns the Trace of a request's context, nil if it has none.
+func traceOf(ctx context.Context) *Trace {
+	t, _ := ctx.Value(traceKey{}).(*Trace)
+	return t
 }
 
 // Context returns a copy of ctx that makes a request record its connections in t.
 func (t *Trace) Context(ctx context.Context) context.Context {
+	ctx = context.WithValue(ctx, traceKey{}, t)
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
 		c, ok := i.Conn.(*conn)
 		if !ok {
@@ -99,6 +113,20 @@
 	return len(t.uses) > 0 && t.uses[len(t.uses)-1].writesBefore > 0
 }
 
+// SentBefore reports whether the Pool had sent a request with the same ID to the same address before. It remembers them as long as the
+// connections that carried them may be in use, and not those that were sent without the pool.
+func (t *Trace) SentBefore() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.sentBefore > 0
+}
+
+func (t *Trace) setSentBefore(n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sentBefore = n
+}
+
 // CloseConns closes the connections that the request used. Use it if a response belongs to another request, since later
 // responses on that connection may be mismatched too, or if a response cannot be read to its end.
 func (t *Trace) CloseConns() {
--- a/internal/infra/meter/meter.go
+++ b/internal/infra/meter/meter.go
@@ -67,6 +67,8 @@
 	steps     map[Step]tally.Histogram
 	teams     *seriesSet[qm.TeamID, Team]
 	endpoints *seriesSet[qm.EndpointID, Endpoint]
+
+	wrongRequests tally.Counter
 }
 
 // seriesSet contains series by label value. They are created on first use; keys beyond the limit share the series other.
@@ -117,6 +119,7 @@
 		Separator:              promreporter.DefaultSeparator,
 	}, time.Second)
 	m := &Meter{scope: scope, closer: closer, handler: reporter.HTTPHandler(), steps: map[Step]tally.Histogram{}}
+	m.wrongRequests = scope.Counter("responses_to_other_requests")
 	for _, step := range steps {
 		m.steps[step] = scope.Tagged(map[string]string{"step": string(step)}).Histogram("step_seconds", stepBuckets)
 	}
@@ -137,6 +140,9 @@
 // Step records the duration of a step of a request.
 func (m *Meter) Step(step Step, took time.Duration) { m.steps[step].RecordDuration(took) }
 
+// WrongRequest counts a response that belongs to another request than the one it was received for.
+func (m *Meter) WrongRequest() { m.wrongRequests.Inc(1) }
+
 // Team returns the series of a team.
 func (m *Meter) Team(id qm.TeamID) *Team { return m.teams.get(id) }
 
--- a/internal/route/exchg/exchg.go
+++ b/internal/route/exchg/exchg.go
@@ -174,6 +174,9 @@
 	Prompt, Hit qm.Tokens     `json:",omitempty"`
 	Source      qm.EndpointID `json:",omitempty"`
 	Outcome     string
+	// Reused and SentBefore are those of the attempt's ConnUse.
+	Reused     bool `json:",omitempty"`
+	SentBefore bool `json:",omitempty"`
 }
 
 // runAttempts makes attempts until one succeeds or no further one is allowed.
@@ -236,6 +239,7 @@
 		Endpoint: p.placement.Endpoint.ID, Address: p.placement.Endpoint.Address, Reason: p.placement.Reason,
 		Expected: millis(p.placement.ExpectedTTFT), Took: millis(time.Since(began)), Version: p.exchangeAttempt.Version, Outcome: outcomeText(err),
 		Prompt: p.placeRequest.PromptTokens, Hit: p.placement.CachedTokens,
+		Reused: p.exchangeAttempt.Conn.Reused, SentBefore: p.exchangeAttempt.Conn.SentBefore,
 	}
 	if p.placement.CacheSource != nil {
 		record.Source = p.placement.CacheSource.ID
@@ -265,6 +269,9 @@
 		return
 	}
 	series.AttemptEnded(false)
+	if errors.Is(err, qm.ErrWrongRequest) {
+		t.runner.deps.Meter.WrongRequest()
+	}
 	t.exclude = append(t.exclude, p.placement.Endpoint.ID)
 	if e.Code == qm.CodeMisdirected {
 		t.runner.deps.Observer.RecordMisdirected(p.placement.Endpoint, p.exchangeAttempt.Version != "")
@@ -482,7 +489,7 @@
 	q := &qm.PlaceRequest{
 		Team: t.x.Team, Model: t.x.Model, PromptTokens: t.x.PromptTokens, Exclude: t.exclude, NonResumable: !t.x.Route.Kind.IsRepeatable(),
 	}
-	attempt := qm.ExchangeAttempt{LastEventID: t.lastEvent, EndpointPriority: t.x.Priority}
+	attempt := qm.ExchangeAttempt{LastEventID: t.lastEvent, EndpointPriority: t.x.Priority, Conn: &qm.ConnUse{}}
 	var d qm.Placement
 	var ok bool
 	if t.x.Model != "" {
