Send no request ID over a connection that has carried it

Cause: a response was matched to its request by the ID alone. A caller that was refused with a promise may come back with the same ID, and its request may get the same kept connection to the same engine. If the engine writes the earlier refusal once more, with the next request or while it runs it, that copy has the right ID and was taken for the answer: "not run", although it ran.

Change: package pool counts the sends of an ID to an address and takes another set of connections for each repeat, so that on one connection an ID means one request, and a copy of an earlier answer has another ID, or none, which was told apart already.

The other way, closing a connection after each refusal, needs no count.

--- a/internal/client/pool/pool.go
+++ b/internal/client/pool/pool.go
@@ -58,14 +58,21 @@
 	current *generation
 }
 
-// generation is the transport for the connections that a Pool opens within MaxAge.
+// generation holds the transports for the connections that a Pool opens within MaxAge.
+//
+// A server may write a response more than once, and its ID tells a copy from the response to a later request only if the two requests have
+// different IDs. So no connection carries an ID twice: a request that was sent to the same address n times before uses transports[n].
 type generation struct {
-	transport *http.Transport
-	createdAt time.Time
+	transports [maxPooledSends]*http.Transport
+	createdAt  time.Time
 	// sends counts the requests with an ID by the hash of the ID and the address.
 	sends map[uint64]int
 }
 
+// maxPooledSends is the number of times that requests with the same ID are sent to an address over pooled connections. Each further one has
+// a connection of its own.
+const maxPooledSends = 16
+
 // maxCountedSends limits the requests that a generation counts. A router at the target size sends about 750 requests a minute.
 const maxCountedSends = 1 << 15
 
@@ -141,10 +148,18 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	g := p.currentGeneration()
+	before := 0
 	if t := traceOf(r.Context()); t != nil && t.ID != "" {
-		t.setSentBefore(g.countSend(r.URL.Host, t.ID))
+		before = g.countSend(r.URL.Host, t.ID)
+		t.setSentBefore(before)
+	}
+	if before >= maxPooledSends {
+		return p.unpooled
 	}
-	return g.transport
+	if g.transports[before] == nil {
+		g.transports[before] = p.newTransport()
+	}
+	return g.transports[before]
 }
 
 // currentGeneration returns the generation for new requests. The caller holds p.mu.
@@ -154,20 +169,29 @@
 		return p.current
 	}
 	if p.current != nil {
-		// After CloseIdleConnections a transport without new requests keeps no connection alive, so those in use are closed
-		// when their requests end.
-		p.current.transport.CloseIdleConnections()
+		// After closeIdle a transport without new requests keeps no connection alive, so those in use are closed when their
+		// requests end.
+		p.current.closeIdle()
 	}
-	p.current = &generation{transport: p.newTransport(), createdAt: now, sends: map[uint64]int{}}
+	p.current = &generation{createdAt: now, sends: map[uint64]int{}}
 	return p.current
 }
 
+// closeIdle closes idle connections.
+func (g *generation) closeIdle() {
+	for _, t := range g.transports {
+		if t != nil {
+			t.CloseIdleConnections()
+		}
+	}
+}
+
 // Close closes all idle connections.
 func (p *Pool) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.current != nil {
-		p.current.transport.CloseIdleConnections()
+		p.current.closeIdle()
 	}
 	p.unpooled.CloseIdleConnections()
 }
