Let the callers of the soak come back after a refusal

Callers of the soak took each complete answer for the end of a request, a refusal too, so that none ever came back after one.

--- a/internal/soak/crowd/crowd.go
+++ b/internal/soak/crowd/crowd.go
@@ -149,10 +149,12 @@
 		c.avoidUntil[r.Name] = time.Now().Add(avoidTime)
 	}
 	switch {
-	case a.CallerGaveUp, a.Complete, a.Status == http.StatusUnauthorized:
+	case a.CallerGaveUp:
 		return a, false, 0
 	case a.Status == http.StatusServiceUnavailable, a.Status == http.StatusTooManyRequests:
 		return a, true, delay
+	case a.Complete, a.Status == http.StatusUnauthorized:
+		return a, false, 0
 	}
 	return a, kind != audit.Order, delay
 }
