Soak: overloaded engines, copied answers and callers who come back with the same ID

Package copier lets a server write an earlier answer of a connection once more: at once, while the connection is idle, with the next request or right before its answer; with its ID or without one. Engines of the soak copy half of their refusals and one in 200 other answers, refuse most requests for some seconds of a round, and half of the callers that were told "not run" come back with the same ID. Streams that can't be resumed (Note) are new among the requests. The audit attributes a run to the send that it follows.

--- a/cmd/standin/platform.go
+++ b/cmd/standin/platform.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"os"
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 
+	"quetzalmount.dev/quetzalmount/internal/standin/copier"
 	"quetzalmount.dev/quetzalmount/internal/standin/serve"
 	"quetzalmount.dev/quetzalmount/platform/fake"
 )
@@ -41,6 +44,8 @@
 			&cli.DurationFlag{Name: "drain", Value: 2 * time.Second, Usage: "how long it serves after it announced that it leaves"},
 			&cli.DurationFlag{Name: "work", Value: 10 * time.Millisecond, Usage: "time of a plain answer, or between two events"},
 			&cli.DurationFlag{Name: "load", Value: 300 * time.Millisecond, Usage: "time to load new weights"},
+			&cli.FloatFlag{Name: "copied-refusals", Usage: "`SHARE` of its refusals after which it writes an earlier answer of the connection again"},
+			&cli.FloatFlag{Name: "copied-answers", Usage: "the same for other answers"},
 		},
 		Action: runPlatformEngine,
 	}
@@ -62,5 +67,12 @@
 		Store: &fake.Operator{Address: c.String("store"), Client: &http.Client{Timeout: storeTimeout}},
 	}
 	go r.Run(ctx)
-	return serve.Run(ctx, c.String("addr"), e, r.Deregister)
+	l, err := net.Listen("tcp", c.String("addr"))
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	l = copier.New(l, copier.Options{
+		IDHeader: fake.RequestIDHeader, RefusalShare: c.Float("copied-refusals"), OtherShare: c.Float("copied-answers"),
+	})
+	return serve.RunOn(ctx, l, e, r.Deregister)
 }
--- a/internal/soak/audit/audit.go
+++ b/internal/soak/audit/audit.go
@@ -32,12 +32,19 @@
 
 // Kinds of requests, named after the routes of the configuration.
 const (
-	// Order is a non-idempotent call, Look an idempotent one, Chat a stream that can be resumed at another engine.
+	// Order is a non-idempotent call, Look an idempotent one, Chat a stream that can be resumed at another engine, and Note one that can't.
 	Order Kind = "Order"
 	Look  Kind = "Look"
 	Chat  Kind = "Chat"
+	Note  Kind = "Note"
 )
 
+// IsRepeatable reports whether a request of this kind may run more than once.
+func (k Kind) IsRepeatable() bool { return k == Look || k == Chat }
+
+// IsStreamed reports whether the response is an event stream.
+func (k Kind) IsStreamed() bool { return k == Chat || k == Note }
+
 // Attempt is one request from the caller's view.
 type Attempt struct {
 	ID     string
@@ -57,6 +64,11 @@
 	CallerGaveUp bool
 }
 
+// Refused reports whether the caller was told to come back, since the request has not run and will not run.
+func (a *Attempt) Refused() bool {
+	return a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests
+}
+
 // meansNotRun reports whether a status guarantees that the request has not run and will not run.
 func meansNotRun(status int) bool {
 	switch status {
@@ -70,9 +82,25 @@
 type record struct {
 	Attempt
 	ended bool
-	// engines lists the engines that ran the request, firstRun is the time of the first run.
+	// engines lists the engines that ran the request, runTimes the times at which they began.
 	engines  []string
-	firstRun time.Time
+	runTimes []time.Time
+	// promises are the earlier sends of the request, after which the caller came back with the same ID.
+	promises []promise
+}
+
+// promise is a send of a request that was answered as not run.
+type promise struct {
+	// sent is when the request was sent, next when it was sent again, zero if it wasn't.
+	sent, next time.Time
+	status     int
+	router     string
+}
+
+// send identifies one of the sends of a request with the same ID, which are numbered from 0.
+type send struct {
+	id     string
+	number int
 }
 
 // interval is the time of a fault. A zero end means that the fault is still present.
@@ -110,7 +138,7 @@
 	observed      map[routerRun]observation
 	// sentTimes are the times of all requests, duplicateTimes those of arrivals at engines after the first arrival of the same request.
 	sentTimes, duplicateTimes []time.Time
-	arrived                   map[string]bool
+	arrived                   map[send]bool
 	violations                []string
 }
 
@@ -118,7 +146,7 @@
 func New(g Guarantees) *Checker {
 	return &Checker{
 		guarantees: g, records: map[string]*record{}, faults: map[string][]*interval{}, drainingSince: map[string]time.Time{}, acceptedAt: map[int]time.Time{},
-		submittedAt: map[int]time.Time{}, fences: map[string]fence{}, observed: map[routerRun]observation{}, arrived: map[string]bool{},
+		submittedAt: map[int]time.Time{}, fences: map[string]fence{}, observed: map[routerRun]observation{}, arrived: map[send]bool{},
 	}
 }
 
@@ -191,11 +219,17 @@
 	c.acceptedAt[n] = time.Now()
 }
 
-// RequestSent records a request. It must be called before the request is sent.
+// RequestSent records a request. It must be called before the request is sent. A request that was answered as not run may be sent again with
+// the same ID.
 func (c *Checker) RequestSent(a Attempt) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.records[a.ID] = &record{Attempt: a}
+	r := &record{Attempt: a}
+	if old := c.records[a.ID]; old != nil {
+		r.engines, r.runTimes = old.engines, old.runTimes
+		r.promises = append(old.promises, promise{sent: old.Sent, next: a.Sent, status: old.Status, router: old.Router})
+	}
+	c.records[a.ID] = r
 	c.sentTimes = append(c.sentTimes, a.Sent)
 }
 
@@ -233,10 +267,18 @@
 
 // countArrival records the arrival of a request at an engine.
 func (c *Checker) countArrival(ev fake.Event) {
-	if c.arrived[ev.Request] {
+	s := send{id: ev.Request}
+	if r := c.records[ev.Request]; r != nil {
+		for _, p := range r.promises {
+			if !ev.Time.Before(p.next) {
+				s.number++
+			}
+		}
+	}
+	if c.arrived[s] {
 		c.duplicateTimes = append(c.duplicateTimes, ev.Time)
 	}
-	c.arrived[ev.Request] = true
+	c.arrived[s] = true
 }
 
 // checkRun records a run of a request and checks that the engine was allowed to run it.
@@ -246,11 +288,8 @@
 		c.addViolation("run: engine %s ran %q, which no caller sent", ev.Engine, ev.Request)
 		return
 	}
-	r.engines = append(r.engines, ev.Engine)
-	if len(r.engines) == 1 {
-		r.firstRun = ev.Time
-	}
-	if r.Kind == Order && len(r.engines) > 1 {
+	r.engines, r.runTimes = append(r.engines, ev.Engine), append(r.runTimes, ev.Time)
+	if !r.Kind.IsRepeatable() && len(r.engines) > 1 {
 		c.addViolation("run twice: %s ran on %v", r.ID, r.engines)
 	}
 	c.checkNotRun(r)
@@ -259,10 +298,19 @@
 	}
 }
 
-// checkNotRun checks that a request did not run if its status guarantees that.
+// checkNotRun checks that no send of a request was followed by a run if its status guarantees that. A run after a request was sent again
+// counts for the later send.
 func (c *Checker) checkNotRun(r *record) {
-	if r.ended && len(r.engines) > 0 && meansNotRun(r.Status) {
-		c.addViolation("not run: %s %s was answered %d by %s and ran on %v", r.Kind, r.ID, r.Status, r.Router, r.engines)
+	promises := r.promises
+	if r.ended && meansNotRun(r.Status) {
+		promises = append(slices.Clone(promises), promise{sent: r.Sent, status: r.Status, router: r.Router})
+	}
+	for _, p := range promises {
+		for i, at := range r.runTimes {
+			if !at.Before(p.sent) && (p.next.IsZero() || at.Before(p.next)) {
+				c.addViolation("not run: %s %s was answered %d by %s and ran on %v", r.Kind, r.ID, p.status, p.router, r.engines[i])
+			}
+		}
 	}
 }
 
--- a/internal/soak/audit/audit_test.go
+++ b/internal/soak/audit/audit_test.go
@@ -46,8 +46,20 @@
 		"may run twice":    {func(c *audit.Checker) { record(c, with(func(a *audit.Attempt) { a.Kind = audit.Look }), "e", "f") }, ""},
 		"never sent":       {func(c *audit.Checker) { c.EngineEvent(fake.Event{Kind: fake.Ran, Request: "z"}) }, "no caller sent"},
 		"not run, but ran": {func(c *audit.Checker) { record(c, with(func(a *audit.Attempt) { a.Status = 503 }), "e") }, "not run"},
-		"may have run":     {func(c *audit.Checker) { record(c, with(func(a *audit.Attempt) { a.Status = 502 }), "e") }, ""},
-		"cut":              {func(c *audit.Checker) { record(c, with(func(a *audit.Attempt) { a.Complete = false }), "e") }, "lost"},
+		"refused, came back and ran": {func(c *audit.Checker) {
+			record(c, with(func(a *audit.Attempt) { a.Status = 503 }))
+			record(c, with(func(a *audit.Attempt) { a.Sent = time.Now().Add(20 * time.Millisecond) }), "e")
+		}, ""},
+		"ran, refused and came back": {func(c *audit.Checker) {
+			record(c, with(func(a *audit.Attempt) { a.Status = 503 }), "e")
+			record(c, with(func(a *audit.Attempt) { a.Status, a.Sent = 503, time.Now().Add(20*time.Millisecond) }))
+		}, "not run"},
+		"refused, came back and ran twice": {func(c *audit.Checker) {
+			record(c, with(func(a *audit.Attempt) { a.Status, a.Kind = 503, audit.Note }))
+			record(c, with(func(a *audit.Attempt) { a.Sent, a.Kind = time.Now().Add(20*time.Millisecond), audit.Note }), "e", "f")
+		}, "run twice"},
+		"may have run": {func(c *audit.Checker) { record(c, with(func(a *audit.Attempt) { a.Status = 502 }), "e") }, ""},
+		"cut":          {func(c *audit.Checker) { record(c, with(func(a *audit.Attempt) { a.Complete = false }), "e") }, "lost"},
 		"caller gave up": {func(c *audit.Checker) {
 			record(c, with(func(a *audit.Attempt) { a.Complete, a.CallerGaveUp = false, true }), "e")
 		}, ""},
--- a/internal/soak/crowd/crowd.go
+++ b/internal/soak/crowd/crowd.go
@@ -37,6 +37,8 @@
 	avoidTime = time.Second
 	// staleKeyRatio is the ratio of requests with the key of an earlier configuration, which is about to be revoked or already is.
 	staleKeyRatio = 0.1
+	// sameIDRatio is the ratio of callers who come back with the same request ID after an answer that says not run. The others take a new one.
+	sameIDRatio = 0.5
 	// sharedPrompts is the number of distinct shared prompt prefixes.
 	sharedPrompts = 20
 )
@@ -55,7 +57,10 @@
 	p := &Pool{fleet: f, checker: checker}
 	for i := range callers {
 		rnd := rand.New(rand.NewPCG(seed, uint64(i)))
-		p.wg.Go(func() { (&caller{pool: p, rnd: rnd, avoidUntil: map[string]time.Time{}, http: newClient()}).run(ctx) })
+		more := rand.New(rand.NewPCG(uint64(i), seed))
+		p.wg.Go(func() {
+			(&caller{pool: p, rnd: rnd, more: more, avoidUntil: map[string]time.Time{}, http: newClient()}).run(ctx)
+		})
 	}
 	return p
 }
@@ -77,8 +82,9 @@
 
 // caller sends requests sequentially.
 type caller struct {
-	pool            *Pool
-	rnd             *rand.Rand
+	pool *Pool
+	// rnd and more are the sources of random choices. The choices that were added last use more, so that those of known seeds stay as they were.
+	rnd, more       *rand.Rand
 	http            *http.Client
 	addresses       []string
 	addressesExpire time.Time
@@ -102,18 +108,25 @@
 // sendRequest sends one request and retries it where that is allowed.
 func (c *caller) sendRequest() {
 	kind := []audit.Kind{audit.Order, audit.Look, audit.Chat, audit.Chat}[c.rnd.IntN(4)]
+	if kind == audit.Chat && c.more.IntN(2) == 0 {
+		kind = audit.Note
+	}
 	keyAge := 0
 	if c.rnd.Float64() < staleKeyRatio {
 		keyAge = 1 + c.rnd.IntN(3)
 	}
 	deadline := time.Now().Add(requestTimeout)
-	served := false
+	served, id := false, ""
 	for attempt := 0; attempt < maxAttempts && !served && time.Until(deadline) > maxPause; attempt++ {
-		a, retry, delay := c.attempt(kind, keyAge, deadline)
+		a, retry, delay := c.attempt(kind, id, keyAge, deadline)
 		served = a.Complete && a.Status == http.StatusOK
 		if !retry {
 			break
 		}
+		id = ""
+		if a.Refused() && c.more.Float64() < sameIDRatio {
+			id = a.ID
+		}
 		time.Sleep(min(delay, time.Until(deadline)/3))
 	}
 	if keyAge == 0 {
@@ -124,15 +137,19 @@
 	}
 }
 
-// attempt sends a request once. It returns whether the request may be retried and after which delay.
-func (c *caller) attempt(kind audit.Kind, keyAge int, deadline time.Time) (a audit.Attempt, retry bool, delay time.Duration) {
+// attempt sends a request once, with a new ID if id is empty. It returns whether the request may be retried and after which delay.
+func (c *caller) attempt(kind audit.Kind, id string, keyAge int, deadline time.Time) (a audit.Attempt, retry bool, delay time.Duration) {
 	r := c.pickRouter()
 	if r == nil {
 		return a, true, maxPause
 	}
 	key, keyVersion := c.pool.fleet.Key(keyAge)
+	n := c.pool.lastID.Add(1)
+	if id == "" {
+		id = fmt.Sprintf("%s-%d", strings.ToLower(string(kind)), n)
+	}
 	a = audit.Attempt{
-		ID: fmt.Sprintf("%s-%d", strings.ToLower(string(kind)), c.pool.lastID.Add(1)), Kind: kind, Router: r.Name, Incarnation: r.Incarnation(), KeyVersion: keyVersion, Sent: time.Now(),
+		ID: id, Kind: kind, Router: r.Name, Incarnation: r.Incarnation(), KeyVersion: keyVersion, Sent: time.Now(),
 	}
 	c.pool.checker.RequestSent(a)
 	timeout := announcedTimeout(time.Until(deadline))
@@ -151,12 +168,12 @@
 	switch {
 	case a.CallerGaveUp:
 		return a, false, 0
-	case a.Status == http.StatusServiceUnavailable, a.Status == http.StatusTooManyRequests:
+	case a.Refused():
 		return a, true, delay
 	case a.Complete, a.Status == http.StatusUnauthorized:
 		return a, false, 0
 	}
-	return a, kind != audit.Order, delay
+	return a, kind.IsRepeatable(), delay
 }
 
 // isPastDeadline reports whether the deadline of ctx has passed at a time. The timer of ctx may fire later than that.
@@ -222,7 +239,7 @@
 // send sends a request through the caller link of its router.
 func (c *caller) send(ctx context.Context, r *fleet.Router, a *audit.Attempt, key string, timeout time.Duration) (*http.Response, error) {
 	q := fake.Request{ID: a.ID, Host: fleet.Host, Path: requestPath(a), Key: key, Body: a.ID, TimeoutMs: timeout.Milliseconds()}
-	if a.Kind == audit.Chat {
+	if a.Kind.IsStreamed() {
 		q.Model, q.Output = fleet.Model, eventCount(a)
 		q.Shared, q.Own = fmt.Sprintf("%x", c.rnd.IntN(sharedPrompts)), fmt.Sprintf("%x", c.rnd.Uint64())
 	}
@@ -243,7 +260,7 @@
 
 // wantBody returns the complete response body that an engine sends for a request.
 func wantBody(a *audit.Attempt) string {
-	if a.Kind != audit.Chat {
+	if !a.Kind.IsStreamed() {
 		return "POST " + requestPath(a) + " " + a.ID
 	}
 	var b strings.Builder
--- a/internal/soak/fleet/fleet.go
+++ b/internal/soak/fleet/fleet.go
@@ -52,6 +52,12 @@
 	callTimeout  = 2 * time.Second
 	readyTimeout = 15 * time.Second
 	pollInterval = 20 * time.Millisecond
+	// overloadShare is the share of the requests that engines refuse while they are overloaded.
+	overloadShare = 0.7
+	// copiedRefusals and copiedAnswers are the shares of the refusals and other answers of engines that are followed by a copy of an earlier
+	// one. Calls that are answered wrongly fail, so that few answers are copied.
+	copiedRefusals = "0.5"
+	copiedAnswers  = "0.005"
 )
 
 // Options describe a fleet.
@@ -282,6 +288,7 @@
 	args := []string{
 		"platform-engine", "--addr", e.address, "--advertise", e.Link.Address(), "--store", f.operator.Address, "--id", e.ID, "--service", e.service,
 		"--heartbeat", Heartbeat.String(), "--drain", drainServeTime.String(),
+		"--copied-refusals", copiedRefusals, "--copied-answers", copiedAnswers,
 	}
 	if e.service == fake.ModelService {
 		args = append(args, "--model", Model, "--version", fmt.Sprint(version))
--- a/internal/soak/fleet/inject.go
+++ b/internal/soak/fleet/inject.go
@@ -56,6 +56,8 @@
 	case plan.CallerLink:
 		defer f.opts.Checker.BeginFault(audit.CallersOf(r.Name))()
 		injectLinkFault(r.CallerLink, s)
+	case plan.EnginesOverload:
+		return f.overloadEngines(s.Duration)
 	case plan.Configure:
 		return f.Configure()
 	case plan.Weights:
@@ -66,6 +68,21 @@
 	return nil
 }
 
+// overloadEngines makes all engines refuse most requests for some time. Engines that start meanwhile refuse none.
+func (f *Fleet) overloadEngines(d time.Duration) error {
+	f.mu.Lock()
+	engines := slices.Clone(f.engines)
+	f.mu.Unlock()
+	for _, e := range engines {
+		// An engine that is down or frozen refuses nothing.
+		if fake.SetRefusedShare(&f.client, e.address, overloadShare) == nil {
+			defer func() { _ = fake.SetRefusedShare(&f.client, e.address, 0) }()
+		}
+	}
+	time.Sleep(d)
+	return nil
+}
+
 // injectEngineFault performs one step that concerns an engine.
 func (f *Fleet) injectEngineFault(s plan.Step) error {
 	e := f.engineAt(s.Target)
--- a/internal/soak/plan/plan.go
+++ b/internal/soak/plan/plan.go
@@ -27,8 +27,10 @@
 	EngineDrain   Kind = "EngineDrain"
 	EngineFreeze  Kind = "EngineFreeze"
 	EngineFault   Kind = "EngineFault"
-	StoreOutage   Kind = "StoreOutage"
-	StoreTrim     Kind = "StoreTrim"
+	// EnginesOverload makes all engines refuse most requests. See WithOverload.
+	EnginesOverload Kind = "EnginesOverload"
+	StoreOutage     Kind = "StoreOutage"
+	StoreTrim       Kind = "StoreTrim"
 	// StoreLink is a network fault between one router and the store, EngineLink between all routers and one engine, CallerLink between
 	// callers and one router.
 	StoreLink  Kind = "StoreLink"
@@ -80,6 +82,12 @@
 	{Weights, 3, nil, 0, 2},
 }
 
+// An overload lasts from minOverload to minOverload plus overloadRange.
+const (
+	minOverload   = time.Second
+	overloadRange = 4 * time.Second
+)
+
 // maxSeriesGap is the longest time between the starts of two faults of a series.
 const maxSeriesGap = 1500 * time.Millisecond
 
@@ -134,3 +142,13 @@
 	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return steps
 }
+
+// WithOverload returns steps with an overload of all engines in addition. The plan of New has none, so that known seeds keep theirs.
+func WithOverload(steps []Step, seed uint64, duration time.Duration) []Step {
+	rnd := rand.New(rand.NewPCG(seed, ^seed))
+	steps = append(steps, Step{
+		At: time.Duration(rnd.Int64N(int64(duration))), Kind: EnginesOverload, Duration: minOverload + time.Duration(rnd.Int64N(int64(overloadRange))),
+	})
+	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
+	return steps
+}
--- a/internal/soak/plan/plan_test.go
+++ b/internal/soak/plan/plan_test.go
@@ -1,14 +1,16 @@
 package plan_test
 
 import (
+	"cmp"
 	"flag"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
+	gocmp "github.com/google/go-cmp/cmp"
 
 	"quetzalmount.dev/quetzalmount/internal/soak/plan"
 )
@@ -31,7 +33,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if diff := cmp.Diff(string(want), b.String()); diff != "" {
+	if diff := gocmp.Diff(string(want), b.String()); diff != "" {
 		t.Errorf("the plan of seed 7 differs (-want +got):\n%s", diff)
 	}
 }
@@ -54,3 +56,19 @@
 		}
 	}
 }
+
+// TestWithOverload checks that an overload is added in order of time, and that the other steps stay as they are.
+func TestWithOverload(t *testing.T) {
+	for seed := range uint64(20) {
+		steps := plan.New(seed, 15*time.Second, 12)
+		with := plan.WithOverload(slices.Clone(steps), seed, 15*time.Second)
+		if !slices.IsSortedFunc(with, func(a, b plan.Step) int { return cmp.Compare(a.At, b.At) }) {
+			t.Errorf("seed %d: steps are not in order of time", seed)
+		}
+		n := len(with)
+		rest := slices.DeleteFunc(with, func(s plan.Step) bool { return s.Kind == plan.EnginesOverload })
+		if diff := gocmp.Diff(steps, rest); diff != "" || n-len(rest) != 1 {
+			t.Errorf("seed %d: %d overloads, other steps (-want +got):\n%s", seed, n-len(rest), diff)
+		}
+	}
+}
--- a/internal/soak/round/round.go
+++ b/internal/soak/round/round.go
@@ -25,8 +25,10 @@
 	// Bin is the directory of the programs, Dir that in which the round creates its log directory.
 	Bin, Dir string
 	// Duration is the time within which faults begin. MaxFaults limits their number; a series of the same fault counts once.
-	Duration                                  time.Duration
-	MaxFaults                                 int
+	Duration  time.Duration
+	MaxFaults int
+	// Overload adds a time in which the engines refuse most requests.
+	Overload                                  bool
 	Routers, Engines, PlainProcesses, Callers int
 }
 
@@ -71,6 +73,9 @@
 // Run runs one round. An error means that the soak test itself failed; violated guarantees are in the result.
 func Run(o Options) (Result, error) {
 	steps := plan.New(o.Seed, o.Duration, o.MaxFaults)
+	if o.Overload {
+		steps = plan.WithOverload(steps, o.Seed, o.Duration)
+	}
 	res := Result{Seed: o.Seed, Faults: len(steps), Logs: filepath.Join(o.Dir, fmt.Sprint("seed-", o.Seed))}
 	if err := os.MkdirAll(res.Logs, 0o755); err != nil {
 		return res, errors.Wrap(err, "create log directory")
--- a/internal/soak/round/round_test.go
+++ b/internal/soak/round/round_test.go
@@ -36,13 +36,13 @@
 	return out
 }
 
-// TestShort runs a short round with a fixed seed, and full rounds with the seeds that have violated a guarantee before.
+// TestShort runs short rounds with fixed seeds, one of them with an overload, and full rounds with the seeds that have violated a guarantee before.
 func TestShort(t *testing.T) {
 	bin := t.TempDir()
 	if err := fleet.Build(t.Context(), bin); err != nil {
 		t.Fatal(err)
 	}
-	run := func(seed uint64, duration time.Duration, maxFaults int) {
+	run := func(seed uint64, duration time.Duration, maxFaults int, overload bool) {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			t.Parallel()
 			// The logs of a failed round must outlive the test, in a directory of their own for each run.
@@ -51,15 +51,16 @@
 				t.Fatal(err)
 			}
 			r, err := round.Run(round.Options{
-				Seed: seed, Bin: bin, Dir: logs, Duration: duration, MaxFaults: maxFaults, Routers: 3, Engines: 3, PlainProcesses: 2, Callers: 12,
+				Seed: seed, Bin: bin, Dir: logs, Duration: duration, MaxFaults: maxFaults, Routers: 3, Engines: 3, PlainProcesses: 2, Callers: 12, Overload: overload,
 			})
 			if err != nil || len(r.Violations) > 0 {
 				t.Errorf("%v %v\n%s", r, err, strings.Join(r.Violations, "\n"))
 			}
 		})
 	}
-	run(1, 5*time.Second, 6)
+	run(1, 5*time.Second, 6, false)
+	run(2, 10*time.Second, 6, true)
 	for _, seed := range regressionSeeds(t) {
-		run(seed, 15*time.Second, 16)
+		run(seed, 15*time.Second, 16, false)
 	}
 }
--- a/internal/standin/serve/serve.go
+++ b/internal/standin/serve/serve.go
@@ -91,6 +91,11 @@
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
+	return RunOn(ctx, l, h, onShutdown)
+}
+
+// RunOn is like Run, with a listener.
+func RunOn(ctx context.Context, l net.Listener, h http.Handler, onShutdown func()) error {
 	srv := &http.Server{Handler: h, ReadHeaderTimeout: shutdownTimeout}
 	if onShutdown == nil {
 		srv.BaseContext = func(net.Listener) context.Context { return ctx }
