Give each control call to an engine an ID and check it in the answer

Callers of quetzalmount serve saw nothing by themselves; routers could believe an old load report or cache events, and order took a command that an engine had refused for accepted, or a 409 that an engine had written for an earlier command for the answer to one that it then accepted.

Cause: load reports, cache events, commands and transfers were sent over kept connections without an ID, although the engines' protocol repeats X-Request-Id in every response. A second copy of an earlier answer on the connection had nothing to be told by.

Change: each call sends a fresh X-Request-Id. A response with another ID is refused with ErrWrongRequest and its connection closed, and so is one without an ID on a connection that has carried another request. On a new connection an answer without an ID stays believed (TestDecodeLoad). The pool doesn't remember IDs that are never sent twice: polls would fill its count, which is for completions, and end generations early.

--- a/internal/client/engine/control.go
+++ b/internal/client/engine/control.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 
+	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
 	qm "quetzalmount.dev/quetzalmount"
@@ -107,7 +108,8 @@
 	return m.Blocks, err
 }
 
-// call sends a request with in as its JSON body, if not nil, and decodes the JSON response.
+// call sends a request with in as its JSON body, if not nil, and decodes the JSON response. The request has an ID of its own, so that the
+// response to an earlier one on the same connection is not taken for its response.
 func call[T any](ctx context.Context, c *Client, e *qm.Endpoint, step, method, path string, in any) (T, error) {
 	var zero T
 	var body []byte
@@ -121,10 +123,16 @@
 	if err != nil {
 		return zero, qm.Fail(qm.CodeInternal, step, e.Address, err)
 	}
-	resp, err := c.pooled.Do(req)
+	trace := &pool.Trace{ID: uuid.NewString(), Unique: true}
+	req.Header.Set("X-Request-Id", trace.ID)
+	resp, err := c.pooled.Do(req.WithContext(trace.Context(ctx)))
 	if err != nil {
 		return zero, qm.Fail(qm.CodeEndpointFailed, step, e.Address, err)
 	}
+	if err := trace.CheckID(resp.Header.Get("X-Request-Id")); err != nil {
+		_ = resp.Body.Close()
+		return zero, qm.Fail(qm.CodeEndpointFailed, step, e.Address, err)
+	}
 	status := resp.StatusCode
 	v, err := pool.Decode[T](resp, pool.EndpointBudget)
 	switch {
--- a/internal/client/pool/pool.go
+++ b/internal/client/pool/pool.go
@@ -149,7 +149,7 @@
 	defer p.mu.Unlock()
 	g := p.currentGeneration()
 	before := 0
-	if t := traceOf(r.Context()); t != nil && t.ID != "" {
+	if t := traceOf(r.Context()); t != nil && t.ID != "" && !t.Unique {
 		before = g.countSend(r.URL.Host, t.ID)
 		t.setSentBefore(before)
 	}
--- a/internal/client/pool/trace.go
+++ b/internal/client/pool/trace.go
@@ -7,6 +7,8 @@
 	"sync"
 
 	"github.com/pkg/errors"
+
+	qm "quetzalmount.dev/quetzalmount"
 )
 
 // errWriteBlocked is returned by writes to a connection whose request was already reported as not sent.
@@ -61,6 +63,8 @@
 type Trace struct {
 	// ID identifies the request in its response. It is empty if the response does not carry an ID.
 	ID string
+	// Unique is set if no other request has the ID, so that the Pool need not remember it.
+	Unique bool
 
 	mu   sync.Mutex
 	uses []connUse
@@ -113,6 +117,16 @@
 	return len(t.uses) > 0 && t.uses[len(t.uses)-1].writesBefore > 0
 }
 
+// CheckID returns an error that wraps quetzalmount.ErrWrongRequest, and closes the connections, if a response with the ID got may belong to
+// another request. It accepts a response without an ID on a connection that has carried no other request.
+func (t *Trace) CheckID(got string) error {
+	if got == t.ID || got == "" && !t.Reused() {
+		return nil
+	}
+	t.CloseConns()
+	return errors.Wrapf(qm.ErrWrongRequest, "answer has id %q, want %q", got, t.ID)
+}
+
 // SentBefore reports whether the Pool had sent a request with the same ID to the same address before. It remembers them as long as the
 // connections that carried them may be in use, and not those that were sent without the pool.
 func (t *Trace) SentBefore() bool {
