Give each query of an operation's status an ID of its own

Services saw a new connection for each poll of an operation.

Cause: all queries of an operation had the ID status-<operation>, and no connection carries an ID twice, so that each poll took another set of connections.

Change: a fresh ID for each query, which the pool need not remember.

--- a/internal/client/plain/older_test.go
+++ b/internal/client/plain/older_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 
@@ -84,3 +85,29 @@
 		t.Error("the operation is reported as unknown to its service")
 	}
 }
+
+// TestStatusConnections guards against new connections for repeated queries of the same operation.
+func TestStatusConnections(t *testing.T) {
+	var conns atomic.Int64
+	h := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		_, _ = io.WriteString(w, `{"State":"Running"}`)
+	}))
+	h.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			conns.Add(1)
+		}
+	}
+	h.Start()
+	defer h.Close()
+	c := plain.New(pool.Options{}, nil)
+	defer func() { _ = c.Close() }()
+	for range 20 {
+		if _, found, err := c.Status(t.Context(), &qm.Endpoint{ID: "p", Address: h.Listener.Addr().String()}, "op"); !found || err != nil {
+			t.Fatalf("found %t, error %v", found, err)
+		}
+	}
+	if got := conns.Load(); got != 1 {
+		t.Errorf("%d connections for 20 queries, want 1", got)
+	}
+}
--- a/internal/client/plain/plain.go
+++ b/internal/client/plain/plain.go
@@ -11,6 +11,7 @@
 	"net/url"
 	"strconv"
 
+	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
 	qm "quetzalmount.dev/quetzalmount"
@@ -69,7 +70,7 @@
 	if err != nil {
 		return 0, nil, qm.Refuse(qm.CodeTimeout, "call", "%v", err).WithPeer(e.Address)
 	}
-	status, body, err := c.roundTrip(h, req, "call", e, string(call.Request))
+	status, body, err := c.roundTrip(h, req, "call", e, &pool.Trace{ID: string(call.Request)})
 	if err != nil {
 		qm.AsError(err).Operation = op
 		return 0, nil, err
@@ -105,9 +106,8 @@
 	return req, nil
 }
 
-// roundTrip sends req once and returns the status and body of the response if it carries the request's id and is whole.
-func (c *Client) roundTrip(h *http.Client, req *http.Request, step string, e *qm.Endpoint, id string) (int, []byte, error) {
-	trace := pool.Trace{ID: id}
+// roundTrip sends req once and returns the status and body of the response if it carries the ID of the trace and is whole.
+func (c *Client) roundTrip(h *http.Client, req *http.Request, step string, e *qm.Endpoint, trace *pool.Trace) (int, []byte, error) {
 	ctx := req.Context()
 	resp, err := h.Do(req.WithContext(trace.Context(ctx)))
 	if err != nil {
@@ -120,10 +120,10 @@
 		}
 		return 0, nil, qm.Fail(code, step, e.Address, err)
 	}
-	if got := resp.Header.Get("X-Request-Id"); got != id {
+	if got := resp.Header.Get("X-Request-Id"); got != trace.ID {
 		trace.CloseConns()
 		_ = resp.Body.Close()
-		return 0, nil, qm.Fail(qm.CodeEndpointFailed, step, e.Address, errors.Wrapf(qm.ErrWrongRequest, "answer has id %q, want %q", got, id))
+		return 0, nil, qm.Fail(qm.CodeEndpointFailed, step, e.Address, errors.Wrapf(qm.ErrWrongRequest, "answer has id %q, want %q", got, trace.ID))
 	}
 	body, err := pool.ReadAll(resp, pool.EndpointBudget)
 	if err == nil && ending.EndsWithConnection(resp) {
@@ -159,9 +159,9 @@
 	if err != nil {
 		return qm.CallResult{}, false, qm.Fail(qm.CodeInternal, "status", e.Address, err)
 	}
-	id := "status-" + string(op)
-	req.Header.Set("X-Request-Id", id)
-	status, body, err := c.roundTrip(c.pooled, req, "status", e, id)
+	trace := &pool.Trace{ID: "status-" + uuid.NewString(), Unique: true}
+	req.Header.Set("X-Request-Id", trace.ID)
+	status, body, err := c.roundTrip(c.pooled, req, "status", e, trace)
 	if err != nil {
 		return qm.CallResult{}, false, err
 	}
