Tell the answer to an append from those to earlier ones

Callers of quetzalmount serve could be told "not run" for a call whose claim is in the log, and editors "refused" for an edit that is in force.

Cause: the log service's answers have no ID, and appends of all streams and reads shared kept connections. A second copy of an earlier answer was believed: a refusal (429, 503, 400, 404) as "not appended", a success as "appended" with the offset of another append, or of another stream. What a wrong "not appended" does (read in the code, not played): package claim sends the same claim again, or refuses the call as not run while its claim holds the key, so that repeats of it wait for an attempt that nobody drives; config.Editor appends the edit a second time under a new attempt, which conflicts with the first and is reported as refused; package order waits for its own claim to expire. A wrong "appended" drops the void or result of a call.

Change: appends of each stream have connections of their own, used by one append at a time, so that an answer to an earlier append has offsets that were answered before and is refused with ErrWrongRequest: the outcome is unknown, and package claim reads back. No connection is used again after any other answer than a success, so that a refusal that is read on one refuses this append and stays a promise. A log that lost its records goes back; its answer is believed on a new connection. Nothing is asked of the service.

The other way, a new connection for each append, was not taken: a router may append 48 times a second.

--- a/internal/client/logsvc/logsvc.go
+++ b/internal/client/logsvc/logsvc.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -21,17 +22,20 @@
 // Client reads and appends records of one log service.
 type Client struct {
 	addr  string
-	pool  *pool.Pool
-	http  *http.Client
+	opts  pool.Options
 	reach *reach.Tracker
+
+	mu       sync.Mutex
+	sessions []*session
+	// idle holds the sessions that make no call.
+	idle map[sessionKey][]*session
 }
 
 var _ qm.Log = (*Client)(nil)
 
 // New returns a client of the log service at addr (host:port).
 func New(addr string, opts pool.Options) *Client {
-	p := pool.New(opts)
-	return &Client{addr: addr, pool: p, http: &http.Client{Transport: p}, reach: reach.New()}
+	return &Client{addr: addr, opts: opts, reach: reach.New(), idle: map[sessionKey][]*session{}}
 }
 
 type (
@@ -63,7 +67,10 @@
 	}
 	req.ContentLength = int64(len(body))
 	req.Header.Set("Content-Type", "application/json")
-	resp, end, err := c.do(req, false)
+	key := sessionKey{stream, true}
+	s := c.begin(key)
+	defer c.end(key, s)
+	resp, end, err := c.do(s, req, false)
 	defer end()
 	if err != nil {
 		if !trace.Sent() {
@@ -71,11 +78,15 @@
 		}
 		return 0, errors.Wrapf(err, "append to %s at %s", stream, c.addr)
 	}
-	return c.firstOffset(stream, resp, len(records))
+	first, err := c.firstOffset(s, &trace, stream, resp, len(records))
+	if err != nil {
+		s.closeConns(&trace)
+	}
+	return first, err
 }
 
 // firstOffset returns the offset of the first of the n records of an append, or an error by the status of the response.
-func (c *Client) firstOffset(stream qm.StreamID, resp *http.Response, n int) (qm.Offset, error) {
+func (c *Client) firstOffset(s *session, trace *pool.Trace, stream qm.StreamID, resp *http.Response, n int) (qm.Offset, error) {
 	switch resp.StatusCode {
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusBadRequest, http.StatusNotFound:
 		status := resp.StatusCode
@@ -83,12 +94,15 @@
 		return 0, c.notAppended(stream, fmt.Sprintf("status %d", status))
 	}
 	a, err := pool.Decode[appendResponse](resp, pool.ControlBudget)
+	if err == nil && (a.First < 1 || a.Last != a.First+qm.Offset(n)-1) {
+		err = errors.Errorf("offsets %d to %d for %d records", a.First, a.Last, n)
+	}
+	if err == nil {
+		err = s.acceptAppend(trace, a.First, a.Last)
+	}
 	if err != nil {
 		return 0, errors.Wrapf(err, "append to %s at %s", stream, c.addr)
 	}
-	if a.First < 1 || a.Last != a.First+qm.Offset(n)-1 {
-		return 0, errors.Errorf("append to %s at %s: offsets %d to %d for %d records", stream, c.addr, a.First, a.Last, n)
-	}
 	return a.First, nil
 }
 
@@ -99,31 +113,44 @@
 // Read implements quetzalmount.Log.
 func (c *Client) Read(ctx context.Context, stream qm.StreamID, from qm.Offset, limit int, wait time.Duration) (qm.Batch, error) {
 	q := fmt.Sprintf("%s?from=%d&max=%d&wait=%d", c.url(stream), from, limit, wait.Milliseconds())
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, q, nil)
+	var trace pool.Trace
+	req, err := http.NewRequestWithContext(trace.Context(ctx), http.MethodGet, q, nil)
 	if err != nil {
 		return qm.Batch{}, errors.Wrapf(err, "read %s at %s", stream, c.addr)
 	}
-	resp, end, err := c.do(req, true)
+	key := sessionKey{}
+	s := c.begin(key)
+	defer c.end(key, s)
+	resp, end, err := c.do(s, req, true)
 	defer end()
 	if err != nil {
 		return qm.Batch{}, errors.Wrapf(err, "read %s at %s", stream, c.addr)
 	}
-	body, err := pool.ReadAll(resp, pool.ControlBudget)
+	b, err := readBatch(resp, from)
 	if err != nil {
+		s.closeConns(&trace)
 		return qm.Batch{}, errors.Wrapf(err, "read %s at %s", stream, c.addr)
 	}
+	return b, nil
+}
+
+// readBatch returns the batch in the response to a read.
+func readBatch(resp *http.Response, from qm.Offset) (qm.Batch, error) {
+	body, err := pool.ReadAll(resp, pool.ControlBudget)
+	if err != nil {
+		return qm.Batch{}, err
+	}
 	if resp.StatusCode != http.StatusOK {
-		return qm.Batch{}, errors.Errorf("read %s at %s: status %d", stream, c.addr, resp.StatusCode)
+		return qm.Batch{}, errors.Errorf("status %d", resp.StatusCode)
 	}
-	b, err := decodeBatch(body, from)
-	return b, errors.Wrapf(err, "read %s at %s", stream, c.addr)
+	return decodeBatch(body, from)
 }
 
 // do sends a request. The caller reads the response and then calls end. A repeatable request that waits while another one finds the log
 // reachable again ends with reach.ErrStale.
-func (c *Client) do(req *http.Request, repeatable bool) (resp *http.Response, end func(), err error) {
+func (c *Client) do(s *session, req *http.Request, repeatable bool) (resp *http.Response, end func(), err error) {
 	ctx, call := c.reach.Begin(req.Context(), repeatable)
-	resp, err = c.http.Do(req.WithContext(ctx))
+	resp, err = s.http.Do(req.WithContext(ctx))
 	switch cause := context.Cause(ctx); {
 	case err == nil && resp.StatusCode < http.StatusInternalServerError && resp.StatusCode != http.StatusTooManyRequests:
 		call.Answered()
@@ -134,13 +161,13 @@
 	case !errors.Is(cause, context.Canceled):
 		call.Failed()
 		// Idle connections may have gone silent with this one.
-		c.pool.Close()
+		c.closeIdle()
 	}
 	return resp, call.Close, err
 }
 
 // Close closes idle connections.
 func (c *Client) Close() error {
-	c.pool.Close()
+	c.closeIdle()
 	return nil
 }
