Tell a batch read from the log from those of earlier reads

A copy of an earlier answer could make a router fold records of another claims stream, and so skip its own: a call whose claim or result it skips may run twice. Or it showed a next offset below what had been read, upon which package claim discards its state and refuses keyed calls until it has the history again.

Cause: reads of all streams shared kept connections, and only the offsets of the records were checked, which are small numbers in every stream.

Change: reads of each stream have connections of their own, used by one read at a time. On these an earlier batch either has the records of the offsets that were asked for, which never change, or other offsets, which was refused already; a next offset below one that was answered on a connection before is refused with ErrWrongRequest. A log that lost its records is still noticed: the next read has a new connection (TestLogReplaced). An empty batch with the same next offset can't be told from an earlier one. It says nothing that wasn't true at the last read: the reader asks again.

--- a/internal/client/logsvc/logsvc.go
+++ b/internal/client/logsvc/logsvc.go
@@ -118,7 +118,7 @@
 	if err != nil {
 		return qm.Batch{}, errors.Wrapf(err, "read %s at %s", stream, c.addr)
 	}
-	key := sessionKey{}
+	key := sessionKey{stream, false}
 	s := c.begin(key)
 	defer c.end(key, s)
 	resp, end, err := c.do(s, req, true)
@@ -126,7 +126,7 @@
 	if err != nil {
 		return qm.Batch{}, errors.Wrapf(err, "read %s at %s", stream, c.addr)
 	}
-	b, err := readBatch(resp, from)
+	b, err := s.readBatch(&trace, resp, from)
 	if err != nil {
 		s.closeConns(&trace)
 		return qm.Batch{}, errors.Wrapf(err, "read %s at %s", stream, c.addr)
@@ -135,7 +135,7 @@
 }
 
 // readBatch returns the batch in the response to a read.
-func readBatch(resp *http.Response, from qm.Offset) (qm.Batch, error) {
+func (s *session) readBatch(trace *pool.Trace, resp *http.Response, from qm.Offset) (qm.Batch, error) {
 	body, err := pool.ReadAll(resp, pool.ControlBudget)
 	if err != nil {
 		return qm.Batch{}, err
@@ -143,7 +143,11 @@
 	if resp.StatusCode != http.StatusOK {
 		return qm.Batch{}, errors.Errorf("status %d", resp.StatusCode)
 	}
-	return decodeBatch(body, from)
+	b, err := decodeBatch(body, from)
+	if err != nil {
+		return qm.Batch{}, err
+	}
+	return b, s.acceptRead(trace, b.NextOffset)
 }
 
 // do sends a request. The caller reads the response and then calls end. A repeatable request that waits while another one finds the log
--- a/internal/client/logsvc/older_test.go
+++ b/internal/client/logsvc/older_test.go
@@ -107,6 +107,48 @@
 	}
 }
 
+// TestReadAnswerReadAgain guards against the answer to an earlier read that is taken for the one to a later: a reader would fold the records
+// of another stream, or take the log for one that has lost records.
+func TestReadAnswerReadAgain(t *testing.T) {
+	batch := func(next int, records string) answer {
+		return answer{http.StatusOK, fmt.Sprintf(`{"First":1,"Next":%d,"Records":[%s]}`, next, records)}
+	}
+	t.Run("another stream", func(t *testing.T) {
+		c := newRepeatingLog(t, 1, func(_ *http.Request, n int) answer {
+			return batch(2, []string{`{"Offset":1,"Data":"eA=="}`, `{"Offset":1,"Data":"eQ=="}`}[n])
+		})
+		if _, err := c.Read(t.Context(), "claims-01", 1, 10, 0); err != nil {
+			t.Fatal(err)
+		}
+		b, err := c.Read(t.Context(), "claims-02", 1, 10, 0)
+		if err == nil && string(b.Records[0].Data) != "y" {
+			t.Errorf("record %q of another stream", b.Records[0].Data)
+		}
+	})
+	t.Run("next offset", func(t *testing.T) {
+		c := newRepeatingLog(t, 2, func(r *http.Request, n int) answer {
+			switch {
+			case n == 0:
+				return batch(1, "")
+			case r.FormValue("from") == "1":
+				return batch(2, `{"Offset":1,"Data":"eA=="}`)
+			}
+			return batch(2, "")
+		})
+		next := qm.Offset(1)
+		for n := range 8 {
+			b, err := c.Read(t.Context(), "claims-01", next, 10, 0)
+			if err == nil && b.NextOffset < next {
+				t.Errorf("read %d from %d: the next offset is %d", n, next, b.NextOffset)
+			}
+			next += qm.Offset(len(b.Records))
+		}
+		if next != 2 {
+			t.Errorf("read up to %d, want 2", next)
+		}
+	})
+}
+
 // TestLogReplaced guards against a client that refuses all answers of a log that lost its records, as after the loss of its disks.
 func TestLogReplaced(t *testing.T) {
 	store := logsrv.New(logsrv.Options{})
--- a/internal/client/logsvc/session.go
+++ b/internal/client/logsvc/session.go
@@ -17,11 +17,11 @@
 type session struct {
 	pool *pool.Pool
 	http *http.Client
-	// offset is the last offset of the records of the last append.
+	// offset is the last offset of the records of the last append, or the next offset of the last batch that was read.
 	offset qm.Offset
 }
 
-// sessionKey selects the sessions for calls of one kind for one stream. Reads of all streams have the same.
+// sessionKey selects the sessions for calls of one kind for one stream.
 type sessionKey struct {
 	stream qm.StreamID
 	append bool
@@ -37,6 +37,16 @@
 	return nil
 }
 
+// acceptRead does the same for the next offset of a batch. A batch with an equal one may still be the answer to an earlier read. Its records are
+// those with the offsets that were asked for, and an empty one says nothing that was not true when the last batch was read.
+func (s *session) acceptRead(trace *pool.Trace, next qm.Offset) error {
+	if trace.Reused() && next < s.offset {
+		return errors.Wrapf(qm.ErrWrongRequest, "next offset %d after %d", next, s.offset)
+	}
+	s.offset = next
+	return nil
+}
+
 // closeConns closes the connections of a call, and takes them out of the pool, where the next call would find them closed.
 func (s *session) closeConns(trace *pool.Trace) {
 	trace.CloseConns()
