Read the instance list over a new connection each time

Routers could believe an earlier instance list: callers are then sent to routers, and requests to engines, that have left, until the next list is read.

Cause: the list was read over a kept connection, and neither an ID nor a version tells one list from another.

Change: each read has a connection of its own. The service's protocol is the users', so that it can't be asked for an ID. It costs a router one connection a second at the default of List.Every.

--- a/internal/client/lister/lister.go
+++ b/internal/client/lister/lister.go
@@ -51,10 +51,11 @@
 // New returns a client of the instance list at addr (host:port).
 func New(addr string, opts pool.Options) *Client {
 	p := pool.New(opts)
-	return &Client{addr: addr, pool: p, http: &http.Client{Transport: p}}
+	return &Client{addr: addr, pool: p, http: &http.Client{Transport: p.Unpooled()}}
 }
 
-// Get returns the published list, which lags behind the actual state of the instances.
+// Get returns the published list, which lags behind the actual state of the instances. It opens a new connection: nothing in a list tells it
+// from an earlier one, which a service may write again on a connection that is kept.
 func (c *Client) Get(ctx context.Context) (List, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.addr+"/v1/instances", nil)
 	if err != nil {
