Let a pool's trace see connections with TLS

Nobody saw anything yet: only exchanges between routers use TLS (PeersCA), and they had no trace. A trace on them would have reported each request that failed as not sent, and each connection as new, and closed none.

Cause: for TLS net/http hands the trace a *tls.Conn around the pool's connection.

Change: the trace looks below TLS. The handshake writes to a connection too, so that with TLS a connection counts as reused if net/http says so; one that was opened for a request that then took another connection counts as reused as well, which is the safe side.

--- a/internal/client/pool/trace.go
+++ b/internal/client/pool/trace.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http/httptrace"
 	"sync"
@@ -53,10 +54,12 @@
 	return false
 }
 
-// connUse is the use of a connection by a request, which started after writesBefore writes to it.
+// connUse is the use of a connection by a request, which started after writesBefore writes to it. reused reports whether the connection had
+// carried another request before.
 type connUse struct {
 	conn         *conn
 	writesBefore int64
+	reused       bool
 }
 
 // Trace records the connections that a Pool used for one request.
@@ -84,13 +87,21 @@
 func (t *Trace) Context(ctx context.Context) context.Context {
 	ctx = context.WithValue(ctx, traceKey{}, t)
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
-		c, ok := i.Conn.(*conn)
+		raw := i.Conn
+		encrypted, isTLS := raw.(*tls.Conn)
+		if isTLS {
+			raw = encrypted.NetConn()
+		}
+		c, ok := raw.(*conn)
 		if !ok {
 			return
 		}
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		t.uses = append(t.uses, connUse{conn: c, writesBefore: c.writeCount()})
+		use := connUse{conn: c, writesBefore: c.writeCount()}
+		// A TLS handshake writes too.
+		use.reused = i.Reused && (isTLS || use.writesBefore > 0)
+		t.uses = append(t.uses, use)
 	}})
 }
 
@@ -114,7 +125,7 @@
 func (t *Trace) Reused() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return len(t.uses) > 0 && t.uses[len(t.uses)-1].writesBefore > 0
+	return len(t.uses) > 0 && t.uses[len(t.uses)-1].reused
 }
 
 // CheckID returns an error that wraps quetzalmount.ErrWrongRequest, and closes the connections, if a response with the ID got may belong to
