Number the calls between routers, and check the number in the answer

Teams could get more than their limits, since shares of a limit that a router had lent once were counted twice; and routers could believe old loads of each other, an old state of the configuration, hints and reports whose age began anew, and that a silent router is alive.

Cause: an answer had nothing that told it from an earlier one on the same kept connection. States have versions and a table is applied only if it is newer, but loads, hints, reports and lent shares have neither. Evidence: TestPeerAnswerReadAgain failed before in all 6 cases, shares, table and loads over HTTP and HTTPS (one run): calls 2, 4, 6 and 8 of 8 got the answer to the call before.

Change: each call carries a number in the header N, counted by the caller, and the answer repeats it, also if it is an error. An answer with another number, or without one on a connection that has carried another call, is refused with ErrWrongRequest and its connection closed; an exchange of states is then sent once more, as after any failed call. A router of a version without numbers is believed on new connections, so that during an update at most every second call to it fails, never two in a row (TestPeerConnections).

A field of the messages would take 2 to 3 bytes in place of 6 or 7. The number takes 12 to 14 bytes a call with its answer.

Measured, one run of each: 280 B a call for shares before, 292 B after (TestBorrowBytes, 1 item); control traffic of a node with 420 members 1,816 B/s before, 1,845 B/s after, of 3,000 (TestBytesPerNodeAtTarget).

--- a/internal/member/peer/client.go
+++ b/internal/member/peer/client.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -19,21 +21,38 @@
 	timeout time.Duration
 }
 
-// headerStripper removes headers that peers do not need, which would take a third of a message, and limits the response.
-type headerStripper struct{ next peerpb.HTTPClient }
+// numberHeader is the header of a call's number, which the answer repeats. An answer may be written more than once, and its number tells it
+// from those to later calls on the connection. The name is short because each call carries it twice.
+const numberHeader = "N"
 
-// Do sends the request without those headers.
-func (s headerStripper) Do(r *http.Request) (*http.Response, error) {
+// transport numbers calls and checks the numbers of the answers, removes headers that peers do not need, which would take a third of a
+// message, and limits the response.
+type transport struct {
+	next  peerpb.HTTPClient
+	calls *atomic.Uint64
+}
+
+// Do sends the request with a number and without those headers. The error wraps quetzalmount.ErrWrongRequest if the answer may be the one to
+// an earlier call. Routers of versions without numbers repeat none; their answers are accepted on new connections.
+func (t transport) Do(r *http.Request) (*http.Response, error) {
+	trace := &pool.Trace{ID: strconv.FormatUint(t.calls.Add(1), 36), Unique: true}
+	r = r.WithContext(trace.Context(r.Context()))
+	r.Header.Set(numberHeader, trace.ID)
 	// An empty value prevents net/http from adding its default.
 	r.Header.Set("User-Agent", "")
 	r.Header.Del("Accept")
 	r.Header.Del("Twirp-Version")
-	resp, err := s.next.Do(r)
-	if err == nil {
-		// The generated code reads a body without a limit.
-		resp.Body = pool.LimitBody(r.Context(), resp.Body, pool.ControlBudget)
+	resp, err := t.next.Do(r)
+	if err != nil {
+		return nil, err
+	}
+	if err := trace.CheckID(resp.Header.Get(numberHeader)); err != nil {
+		_ = resp.Body.Close()
+		return nil, err
 	}
-	return resp, err
+	// The generated code reads a body without a limit.
+	resp.Body = pool.LimitBody(r.Context(), resp.Body, pool.ControlBudget)
+	return resp, nil
 }
 
 // stub returns a client of the peer protocol for router m.
--- a/internal/member/peer/peer.go
+++ b/internal/member/peer/peer.go
@@ -18,6 +18,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -53,7 +54,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	p := &Peer{
 		opts: o, cancel: cancel, wake: make(chan struct{}, 1), outbox: outbox{maxHints: o.MaxHints},
-		client:  client{http: headerStripper{o.Client}, scheme: o.Scheme, timeout: o.Timeout},
+		client:  client{http: transport{next: o.Client, calls: new(atomic.Uint64)}, scheme: o.Scheme, timeout: o.Timeout},
 		version: time.Now().UnixMilli(),
 	}
 	checks := make(chan qm.Member, Fanout)
--- a/internal/member/peer/server.go
+++ b/internal/member/peer/server.go
@@ -23,6 +23,9 @@
 		r.Body = body
 		// Peers do not use the Date header; nil prevents net/http from adding it.
 		w.Header()["Date"] = nil
+		if number := r.Header.Get(numberHeader); number != "" {
+			w.Header().Set(numberHeader, number)
+		}
 		h.ServeHTTP(w, r)
 	})
 }
