Shorten the IDs of control calls

Control traffic of a node has a budget of 3 KB/s, of which load polls are a large part. A UUID, sent and repeated, made a poll of 469 B one of 573 B (TestLoadBytes, over a kept connection; the roster's default of a poll a second counts with 700 B). An ID of 64 random bits in base 36 takes 526 B. It needn't be unique beyond the connections to one engine, and must not be equal to a caller's ID, which goes over the same connections.

--- a/internal/client/engine/control.go
+++ b/internal/client/engine/control.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"net/http"
 
-	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
 	qm "quetzalmount.dev/quetzalmount"
@@ -123,7 +122,7 @@
 	if err != nil {
 		return zero, qm.Fail(qm.CodeInternal, step, e.Address, err)
 	}
-	trace := &pool.Trace{ID: uuid.NewString(), Unique: true}
+	trace := &pool.Trace{ID: pool.NewID(), Unique: true}
 	req.Header.Set("X-Request-Id", trace.ID)
 	resp, err := c.pooled.Do(req.WithContext(trace.Context(ctx)))
 	if err != nil {
--- a/internal/client/engine/control_older_test.go
+++ b/internal/client/engine/control_older_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 
@@ -14,6 +15,7 @@
 	qm "quetzalmount.dev/quetzalmount"
 	"quetzalmount.dev/quetzalmount/internal/client/engine"
 	"quetzalmount.dev/quetzalmount/internal/client/pool"
+	"quetzalmount.dev/quetzalmount/internal/standin/engsrv"
 )
 
 // startRepeatingEngine starts an engine that answers request number n, from 1, with answer(n), and writes the first answer of a connection
@@ -128,3 +130,55 @@
 		t.Errorf("%d connections for 20 load reports, want 1", got)
 	}
 }
+
+// countingListener counts the bytes that are read and written on its connections.
+type countingListener struct {
+	net.Listener
+	bytes atomic.Int64
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return &countingConn{c, &l.bytes}, err
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c *countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// TestLoadBytes guards against load polls that take more of the budget for control traffic than roster.DefaultPollsPerRound counts with.
+func TestLoadBytes(t *testing.T) {
+	const polls, maxBytes = 20, 700
+	s := engsrv.New(engsrv.Options{Model: "m", Version: "v1"})
+	defer func() { _ = s.Close() }()
+	h := httptest.NewUnstartedServer(s.Handler())
+	l := &countingListener{Listener: h.Listener}
+	h.Listener = l
+	h.Start()
+	defer h.Close()
+	c := engine.New(pool.Options{})
+	defer func() { _ = c.Close() }()
+	for range polls {
+		if _, err := c.Load(t.Context(), &qm.Endpoint{ID: "e", Address: l.Addr().String()}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got := l.bytes.Load() / polls
+	if got > maxBytes {
+		t.Errorf("%d B a poll, want at most %d", got, maxBytes)
+	}
+	t.Logf("%d B a poll", got)
+}
--- a/internal/client/plain/plain.go
+++ b/internal/client/plain/plain.go
@@ -11,7 +11,6 @@
 	"net/url"
 	"strconv"
 
-	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
 	qm "quetzalmount.dev/quetzalmount"
@@ -159,7 +158,7 @@
 	if err != nil {
 		return qm.CallResult{}, false, qm.Fail(qm.CodeInternal, "status", e.Address, err)
 	}
-	trace := &pool.Trace{ID: "status-" + uuid.NewString(), Unique: true}
+	trace := &pool.Trace{ID: "status-" + pool.NewID(), Unique: true}
 	req.Header.Set("X-Request-Id", trace.ID)
 	status, body, err := c.roundTrip(c.pooled, req, "status", e, trace)
 	if err != nil {
