--- a/internal/member/peer/older_test.go
+++ b/internal/member/peer/older_test.go
@@ -12,6 +12,7 @@
 	"net/http/httptest"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -186,3 +187,50 @@
 		})
 	}
 }
+
+// TestPeerStaysLive guards against a router that is taken for dead because it writes answers more than once: the check of the numbers must
+// cost no more than a new connection.
+func TestPeerStaysLive(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	self, other := qm.Member{Instance: "a", State: qm.Live, IsSelf: true}, qm.Member{Instance: "b", PeerAddress: l.Addr().String(), State: qm.Live}
+	list := func(context.Context) ([]qm.Member, []*qm.Endpoint, error) {
+		return []qm.Member{self, other}, []*qm.Endpoint{{ID: "e", Kind: qm.KindEngine, State: qm.Live}}, nil
+	}
+	start := func(self qm.Member, client peerpb.HTTPClient) (*peer.Peer, *board.Board) {
+		b := board.New()
+		r := roster.New(t.Context(), roster.Options{Board: b, Self: self, List: list, ListInterval: 10 * time.Millisecond})
+		t.Cleanup(r.Close)
+		p := peer.New(t.Context(), peer.Options{
+			Board: b, Roster: r, Self: self, Client: client, RoundInterval: 5 * time.Millisecond, UpdateInterval: 5 * time.Millisecond,
+		})
+		t.Cleanup(p.Close)
+		return p, b
+	}
+	var calls atomic.Int64
+	answering, _ := start(qm.Member{Instance: "b", IsSelf: true}, http.DefaultClient)
+	serveRepeating(t, l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls.Add(1)
+		answering.Handler().ServeHTTP(w, r)
+	}))
+	conns := pool.New(pool.Options{})
+	defer conns.Close()
+	_, b := start(self, &http.Client{Transport: conns})
+	for calls.Load() < 50 {
+		changed := b.Members.Changed()
+		members, _ := b.Members.Load()
+		for _, m := range members {
+			if m.Instance == other.Instance && m.State != qm.Live {
+				t.Fatalf("router is %s after %d calls", m.State, calls.Load())
+			}
+		}
+		select {
+		case <-changed:
+		case <-time.After(10 * time.Millisecond):
+		case <-t.Context().Done():
+			t.Fatal("timeout")
+		}
+	}
+}
