Keep the connection of a read that the log refused

A router has a reader for each of ten streams, which retries within 50 to 150 ms, so that routers would meet a log that comes back with many connections.

Cause: the change of reads closed the connection after any error. A refused read proves nothing, now or when it is read again; only an append's refusal is a promise. Appends keep closing: they are at most AppendsPerSecond a router.

--- a/internal/client/logsvc/logsvc.go
+++ b/internal/client/logsvc/logsvc.go
@@ -126,28 +126,22 @@
 	if err != nil {
 		return qm.Batch{}, errors.Wrapf(err, "read %s at %s", stream, c.addr)
 	}
-	b, err := s.readBatch(&trace, resp, from)
-	if err != nil {
-		s.closeConns(&trace)
-		return qm.Batch{}, errors.Wrapf(err, "read %s at %s", stream, c.addr)
-	}
-	return b, nil
-}
-
-// readBatch returns the batch in the response to a read.
-func (s *session) readBatch(trace *pool.Trace, resp *http.Response, from qm.Offset) (qm.Batch, error) {
 	body, err := pool.ReadAll(resp, pool.ControlBudget)
 	if err != nil {
-		return qm.Batch{}, err
+		return qm.Batch{}, errors.Wrapf(err, "read %s at %s", stream, c.addr)
 	}
 	if resp.StatusCode != http.StatusOK {
-		return qm.Batch{}, errors.Errorf("status %d", resp.StatusCode)
+		return qm.Batch{}, errors.Errorf("read %s at %s: status %d", stream, c.addr, resp.StatusCode)
 	}
 	b, err := decodeBatch(body, from)
+	if err == nil {
+		err = s.acceptRead(&trace, b.NextOffset)
+	}
 	if err != nil {
-		return qm.Batch{}, err
+		s.closeConns(&trace)
+		return qm.Batch{}, errors.Wrapf(err, "read %s at %s", stream, c.addr)
 	}
-	return b, s.acceptRead(trace, b.NextOffset)
+	return b, nil
 }
 
 // do sends a request. The caller reads the response and then calls end. A repeatable request that waits while another one finds the log
--- a/internal/client/logsvc/older_test.go
+++ b/internal/client/logsvc/older_test.go
@@ -176,7 +176,7 @@
 	}
 }
 
-// TestLogConnections guards against a new connection for each call: only a refusal costs one.
+// TestLogConnections guards against a new connection for each call, also while the log is down: only a refused append costs one.
 func TestLogConnections(t *testing.T) {
 	store := logsrv.New(logsrv.Options{})
 	var conns atomic.Int64
@@ -208,8 +208,13 @@
 			t.Errorf("refused append: %v, want ErrNotAppended", err)
 		}
 	}
+	for range calls {
+		if _, err := c.Read(t.Context(), "claims-0", 1, 10, 0); err == nil {
+			t.Error("read succeeded while the log is down")
+		}
+	}
 	if got, limit := conns.Load(), int64(2*streams+refusals); got > limit {
 		t.Errorf("%d connections, want at most %d", got, limit)
 	}
-	t.Logf("%d connections for %d appends and reads of %d streams and %d refusals", conns.Load(), 2*streams*calls, streams, refusals)
+	t.Logf("%d connections for %d appends and reads of %d streams, %d refused appends and %d refused reads", conns.Load(), 2*streams*calls, streams, refusals, calls)
 }
--- a/internal/client/logsvc/session.go
+++ b/internal/client/logsvc/session.go
@@ -12,8 +12,9 @@
 // session makes calls of one kind for one stream, one at a time, over connections that no other session uses.
 //
 // The log service's responses have no request IDs, and a service may write a response more than once. Within a session a response to an
-// earlier call is told from the one that is due by its offsets, which only grow. A connection isn't used again after any other response than
-// a success, so that a refusal that is read on it refuses the call that is made.
+// earlier call is told from the one that is due by its offsets, which only grow. After any other response to an append than a success the
+// connection isn't used again, so that a refusal that is read on it refuses the append that is made. A refused read proves nothing, and its
+// connection is kept: readers retry often while the service is down.
 type session struct {
 	pool *pool.Pool
 	http *http.Client
