--- a/internal/client/pool/trace.go
+++ b/internal/client/pool/trace.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http/httptrace"
 	"sync"
 
 	"github.com/pkg/errors"
+
+	qm "quetzalmount.dev/quetzalmount"
 )
 
 // errWriteBlocked is returned by writes to a connection whose request was already reported as not sent.
@@ -51,16 +54,20 @@
 	return false
 }
 
-// connUse is the use of a connection by a request, which started after writesBefore writes to it.
+// connUse is the use of a connection by a request, which started after writesBefore writes to it. reused reports whether the connection had
+// carried another request before.
 type connUse struct {
 	conn         *conn
 	writesBefore int64
+	reused       bool
 }
 
 // Trace records the connections that a Pool used for one request.
 type Trace struct {
 	// ID identifies the request in its response. It is empty if the response does not carry an ID.
 	ID string
+	// Unique is set if no other request has the ID, so that the Pool need not remember it.
+	Unique bool
 
 	mu   sync.Mutex
 	uses []connUse
@@ -80,13 +87,21 @@
 func (t *Trace) Context(ctx context.Context) context.Context {
 	ctx = context.WithValue(ctx, traceKey{}, t)
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
-		c, ok := i.Conn.(*conn)
+		raw := i.Conn
+		encrypted, isTLS := raw.(*tls.Conn)
+		if isTLS {
+			raw = encrypted.NetConn()
+		}
+		c, ok := raw.(*conn)
 		if !ok {
 			return
 		}
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		t.uses = append(t.uses, connUse{conn: c, writesBefore: c.writeCount()})
+		use := connUse{conn: c, writesBefore: c.writeCount()}
+		// A TLS handshake writes too.
+		use.reused = i.Reused && (isTLS || use.writesBefore > 0)
+		t.uses = append(t.uses, use)
 	}})
 }
 
@@ -110,7 +125,17 @@
 func (t *Trace) Reused() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return len(t.uses) > 0 && t.uses[len(t.uses)-1].writesBefore > 0
+	return len(t.uses) > 0 && t.uses[len(t.uses)-1].reused
+}
+
+// CheckID returns an error that wraps quetzalmount.ErrWrongRequest, and closes the connections, if a response with the ID got may belong to
+// another request. It accepts a response without an ID on a connection that has carried no other request.
+func (t *Trace) CheckID(got string) error {
+	if got == t.ID || got == "" && !t.Reused() {
+		return nil
+	}
+	t.CloseConns()
+	return errors.Wrapf(qm.ErrWrongRequest, "answer has id %q, want %q", got, t.ID)
 }
 
 // SentBefore reports whether the Pool had sent a request with the same ID to the same address before. It remembers them as long as the
