Call routers that joined lately before the permutations end

Cause: in each round a router calls the next two of a random permutation of the members. A router that joined after the permutation was drawn had no place in it, at any of the others, until it ended: 38 rounds of a second with 76 routers, 210 with 420. If it lost power, nobody noticed, and only its membership (5 s and its grace of 9 s) took it out of the directory.

Change: members that the permutation lacks, new ones and those that were suspect when their turn came, are inserted at random places of the rest. The other way, to call a newcomer in the next round, would have all routers call it at once, and tells no more about it later.

--- a/internal/member/peer/net_test.go
+++ b/internal/member/peer/net_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -19,7 +20,11 @@
 	"quetzalmount.dev/quetzalmount/internal/state/board"
 )
 
-const latency = time.Millisecond
+const (
+	latency = time.Millisecond
+	// listInterval is the time between two reads of the list of members in a network whose list changes.
+	listInterval = time.Second
+)
 
 // network carries requests between routers in one process and counts the bytes that they would take over HTTP/1.1.
 type network struct {
@@ -32,6 +37,14 @@
 	// countedMethod is the suffix of the URL paths that are counted, empty for all.
 	countedMethod string
 	list          []qm.Member
+	// unlisted holds the nodes that are missing from the list that the others read.
+	unlisted map[string]bool
+	// listInterval is the time between two reads of the list.
+	listInterval time.Duration
+	// off holds the nodes without power, which answer nothing.
+	off map[string]bool
+	// options holds the intervals and the timeout of the peers; the zero value means the defaults.
+	options peer.Options
 }
 
 type node struct {
@@ -51,15 +64,15 @@
 	to := r.URL.Host
 	time.Sleep(latency)
 	n.net.mu.Lock()
-	dst, lost, lostBack := n.net.nodes[to], n.net.cut[[2]string{n.id, to}], n.net.cut[[2]string{to, n.id}]
+	dst, lost, lostBack := n.net.nodes[to], n.net.cut[[2]string{n.id, to}] || n.net.off[to], n.net.cut[[2]string{to, n.id}]
 	n.net.mu.Unlock()
-	if dst == nil {
-		return nil, fmt.Errorf("connection refused by %s", to)
-	}
 	if lost {
 		<-r.Context().Done()
 		return nil, r.Context().Err()
 	}
+	if dst == nil {
+		return nil, fmt.Errorf("connection refused by %s", to)
+	}
 	var wire bytes.Buffer
 	r.Body = io.NopCloser(bytes.NewReader(body))
 	if err := r.Write(&wire); err != nil {
@@ -90,12 +103,18 @@
 	return resp, nil
 }
 
-func newNetwork(t testing.TB, n int) *network {
-	nw := &network{nodes: map[string]*node{}, cut: map[[2]string]bool{}}
+func newNetwork(t testing.TB, n int) *network { return newNetworkWithOptions(t, n, 0, peer.Options{}) }
+
+// newNetworkWithOptions starts n nodes, the last ones of which are missing from the list.
+func newNetworkWithOptions(t testing.TB, n, unlisted int, o peer.Options) *network {
+	nw := &network{nodes: map[string]*node{}, cut: map[[2]string]bool{}, off: map[string]bool{}, unlisted: map[string]bool{}, listInterval: time.Hour, options: o}
 	for i := range n {
 		id := fmt.Sprintf("router-%03d", i)
 		nw.list = append(nw.list, qm.Member{Instance: qm.InstanceID(id), PeerAddress: id, State: qm.Live})
 	}
+	if nw.setUnlisted(unlisted); unlisted > 0 {
+		nw.listInterval = listInterval
+	}
 	for i := range n {
 		nw.start(t, nw.list[i], fmt.Sprintf("%016x", i*7919))
 	}
@@ -106,18 +125,40 @@
 	self.Incarnation = qm.Incarnation(inc)
 	nd := &node{id: string(self.Instance), net: nw, board: board.New()}
 	nd.roster = roster.New(t.Context(), roster.Options{
-		Board: nd.board, Self: self, ListInterval: time.Hour,
+		Board: nd.board, Self: self, ListInterval: nw.listInterval,
 		List: func(context.Context) ([]qm.Member, []*qm.Endpoint, error) {
-			return nw.list, []*qm.Endpoint{{ID: "engine-1", Kind: qm.KindEngine, State: qm.Live}}, nil
+			return nw.listed(), []*qm.Endpoint{{ID: "engine-1", Kind: qm.KindEngine, State: qm.Live}}, nil
 		},
 	})
-	nd.peer = peer.New(t.Context(), peer.Options{Board: nd.board, Roster: nd.roster, Self: self, Client: nd})
+	o := nw.options
+	o.Board, o.Roster, o.Self, o.Client = nd.board, nd.roster, self, nd
+	nd.peer = peer.New(t.Context(), o)
 	nw.mu.Lock()
 	defer nw.mu.Unlock()
 	nw.nodes[nd.id] = nd
 	return nd
 }
 
+// listed returns the members on the list that all nodes read.
+func (nw *network) listed() []qm.Member {
+	nw.mu.Lock()
+	defer nw.mu.Unlock()
+	if len(nw.unlisted) == 0 {
+		return nw.list
+	}
+	return slices.DeleteFunc(slices.Clone(nw.list), func(m qm.Member) bool { return nw.unlisted[string(m.Instance)] })
+}
+
+// setUnlisted takes the last n nodes off the list, 0 for none.
+func (nw *network) setUnlisted(n int) {
+	nw.mu.Lock()
+	defer nw.mu.Unlock()
+	clear(nw.unlisted)
+	for _, m := range nw.list[len(nw.list)-n:] {
+		nw.unlisted[string(m.Instance)] = true
+	}
+}
+
 func (nw *network) stop() {
 	for _, n := range nw.nodes {
 		n.peer.Close()
@@ -147,6 +188,14 @@
 	n.roster.Close()
 }
 
+// powerOff stops node i and leaves calls to it without an answer.
+func (nw *network) powerOff(i int) {
+	nw.mu.Lock()
+	nw.off[string(nw.list[i].Instance)] = true
+	nw.mu.Unlock()
+	nw.crash(i)
+}
+
 // memberView returns member i as node n sees it.
 func (n *node) memberView(i int) qm.Member {
 	m, _ := n.board.Members.Load()
--- a/internal/member/peer/peer.go
+++ b/internal/member/peer/peer.go
@@ -38,8 +38,10 @@
 	// requestCheck queues an extra call to a member; it does nothing if the queue is full.
 	requestCheck func(qm.Member)
 
-	// callOrder holds the members to call next. Only the goroutine of runRounds uses it.
+	// callOrder holds the rest of the current permutation, the members to call next, and permuted all of its members. Only the goroutine of
+	// runRounds uses them.
 	callOrder []qm.InstanceID
+	permuted  map[qm.InstanceID]bool
 
 	// version and lastState are the version and the value of the own state that was sent last.
 	mu        sync.Mutex
@@ -54,7 +56,7 @@
 	p := &Peer{
 		opts: o, cancel: cancel, wake: make(chan struct{}, 1), outbox: outbox{maxHints: o.MaxHints},
 		client:  client{http: headerStripper{o.Client}, scheme: o.Scheme, timeout: o.Timeout},
-		version: time.Now().UnixMilli(),
+		version: time.Now().UnixMilli(), permuted: map[qm.InstanceID]bool{},
 	}
 	checks := make(chan qm.Member, Fanout)
 	p.requestCheck = func(m qm.Member) {
@@ -170,15 +172,18 @@
 	var out []qm.Member
 	for pass := 0; pass < 2 && len(out) < min(Fanout, len(healthy)); pass++ {
 		if len(p.callOrder) == 0 {
-			for _, m := range sample(healthy, len(healthy)) {
-				p.callOrder = append(p.callOrder, m.Instance)
-			}
+			clear(p.permuted)
 		}
+		p.permuteNew(healthy)
 		for len(p.callOrder) > 0 && len(out) < Fanout {
 			id := p.callOrder[0]
 			p.callOrder = p.callOrder[1:]
 			matches := func(m qm.Member) bool { return m.Instance == id }
-			if i := slices.IndexFunc(healthy, matches); i >= 0 && !slices.ContainsFunc(out, matches) {
+			i := slices.IndexFunc(healthy, matches)
+			if i < 0 {
+				// It has a place in the permutation again once it is healthy.
+				delete(p.permuted, id)
+			} else if !slices.ContainsFunc(out, matches) {
 				out = append(out, healthy[i])
 			}
 		}
@@ -186,6 +191,17 @@
 	return out
 }
 
+// permuteNew inserts the members that the permutation lacks into the rest of it. They join all routers at about the same time, so that
+// otherwise no router would call them until the permutations end, after more than a minute in a system of 200.
+func (p *Peer) permuteNew(healthy []qm.Member) {
+	for _, m := range healthy {
+		if !p.permuted[m.Instance] {
+			p.permuted[m.Instance] = true
+			p.callOrder = slices.Insert(p.callOrder, rand.IntN(len(p.callOrder)+1), m.Instance)
+		}
+	}
+}
+
 // sample shuffles m in place and returns at most n of its members.
 func sample(m []qm.Member, n int) []qm.Member {
 	rand.Shuffle(len(m), func(i, j int) { m[i], m[j] = m[j], m[i] })
--- a/internal/member/peer/peer_test.go
+++ b/internal/member/peer/peer_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	qm "quetzalmount.dev/quetzalmount"
+	"quetzalmount.dev/quetzalmount/internal/member/peer"
 	"quetzalmount.dev/quetzalmount/internal/member/roster"
 )
 
@@ -121,6 +123,43 @@
 	}
 }
 
+// platformIntervals are the intervals on the users' platform, shorter than the defaults.
+var platformIntervals = peer.Options{RoundInterval: time.Second, UpdateInterval: 60 * time.Millisecond, Timeout: 500 * time.Millisecond}
+
+// maxUnnoticed is the time within which at least one router finds that another one is silent. With Fanout calls per router and round, no
+// router calls it in three rounds in 1 of 400 cases.
+func maxUnnoticed(o peer.Options) time.Duration { return 3*o.RoundInterval*5/4 + 2*o.Timeout }
+
+// TestPowerLossOfNewMember guards against routers that are called by none of the others, which are in the middle of their permutations of
+// the members that they knew before, until those end: nobody would notice that such a router lost power.
+func TestPowerLossOfNewMember(t *testing.T) {
+	for _, c := range []struct {
+		members, added int
+		// until is the time from the listing of the added ones until one of them loses power.
+		until time.Duration
+	}{{24, 4, 3 * time.Second}, {78, 12, time.Second}, {78, 12, 10 * time.Second}, {78, 12, 20 * time.Second}, {240, 1, 10 * time.Second}} {
+		t.Run(fmt.Sprintf("%d of %d, after %v", c.added, c.members, c.until), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				o := platformIntervals
+				nw := newNetworkWithOptions(t, c.members, c.added, o)
+				defer nw.stop()
+				time.Sleep(5 * time.Second)
+				nw.setUnlisted(0)
+				time.Sleep(listInterval + c.until)
+				last := c.members - 1
+				nw.powerOff(last)
+				took := waitUntil(time.Minute, func() bool {
+					return !nw.allNodes(-1, func(n *node) bool { return n.memberView(last).State != qm.Suspect })
+				})
+				t.Logf("suspect at one router after %v", took)
+				if took > maxUnnoticed(o) {
+					t.Errorf("suspect at one router after %v, want within %v", took, maxUnnoticed(o))
+				}
+			})
+		})
+	}
+}
+
 // TestRestartAllTogether guards against suspect states or old incarnations that persist after a restart of all routers.
 func TestRestartAllTogether(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
