Start a round although a call has no answer yet

When routers lost power or were cut off, the others told each other late: of engines that leave, of requests that end engines, and of the routers themselves, which their directories kept naming.

Cause: a round waited for all its calls, and each router that is suspect is called in every round, so that a round took the timeout of a call (0.5 s on the platform) in place of 60 ms as soon as one router was silent. The calls that check on a router another one couldn't reach ran one after the other, a second each, and those beyond a queue of two were dropped.

Change: a round starts its calls and doesn't wait; so does a check. A member is called once at a time, which bounds the calls by the members. The other way, to wait a short time for each call, needs one more time limit and still delays each round by it.

--- a/internal/member/peer/peer.go
+++ b/internal/member/peer/peer.go
@@ -35,16 +35,20 @@
 	wake   chan struct{}
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
-	// requestCheck queues an extra call to a member; it does nothing if the queue is full.
-	requestCheck func(qm.Member)
+	// startExchange exchanges state with a member in the background, unless that is in progress or the Peer is closed. A member that does
+	// not answer must not hold up what the others are told.
+	startExchange func(qm.Member)
 
 	// callOrder holds the rest of the current permutation, the members to call next, and permuted all of its members. Only the goroutine of
 	// runRounds uses them.
 	callOrder []qm.InstanceID
 	permuted  map[qm.InstanceID]bool
 
+	mu sync.Mutex
+	// calls holds the members that are being called.
+	calls  map[qm.InstanceID]bool
+	closed bool
 	// version and lastState are the version and the value of the own state that was sent last.
-	mu        sync.Mutex
 	version   int64
 	lastState *peerpb.InstanceState
 }
@@ -56,24 +60,33 @@
 	p := &Peer{
 		opts: o, cancel: cancel, wake: make(chan struct{}, 1), outbox: outbox{maxHints: o.MaxHints},
 		client:  client{http: headerStripper{o.Client}, scheme: o.Scheme, timeout: o.Timeout},
-		version: time.Now().UnixMilli(), permuted: map[qm.InstanceID]bool{},
+		version: time.Now().UnixMilli(), permuted: map[qm.InstanceID]bool{}, calls: map[qm.InstanceID]bool{},
 	}
-	checks := make(chan qm.Member, Fanout)
-	p.requestCheck = func(m qm.Member) {
-		select {
-		case checks <- m:
-		default:
+	p.startExchange = func(m qm.Member) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if p.closed || p.calls[m.Instance] {
+			return
 		}
+		p.calls[m.Instance] = true
+		p.wg.Go(func() {
+			p.exchangeWith(ctx, m)
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			delete(p.calls, m.Instance)
+		})
 	}
 	p.wg.Go(func() { p.runRounds(ctx) })
 	p.wg.Go(func() { p.announceLeaving(ctx) })
 	p.wg.Go(func() { p.watchTable(ctx) })
-	p.wg.Go(func() { p.runChecks(ctx, checks) })
 	return p
 }
 
 // Close stops the rounds and waits for calls in progress.
 func (p *Peer) Close() {
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
 	p.cancel()
 	p.wg.Wait()
 }
@@ -104,7 +117,7 @@
 				return
 			}
 		}
-		p.round(ctx)
+		p.round()
 		wait = p.opts.RoundInterval*3/4 + rand.N(p.opts.RoundInterval/2)
 		if extra > 0 {
 			extra--
@@ -126,14 +139,12 @@
 	}
 }
 
-// round calls Fanout random members that are not suspect and one suspect member.
-func (p *Peer) round(ctx context.Context) {
+// round calls Fanout random members that are not suspect and one suspect member. It does not wait for their answers.
+func (p *Peer) round() {
 	p.queueHints()
-	var wg sync.WaitGroup
 	for _, m := range p.selectMembers() {
-		wg.Go(func() { p.exchangeWith(ctx, m) })
+		p.startExchange(m)
 	}
-	wg.Wait()
 }
 
 // queueHints moves the hints of the roster and the reports about requests to the outbox.
@@ -149,13 +160,15 @@
 	}
 }
 
-// selectMembers returns the members to call in a round.
+// selectMembers returns the members to call in a round, without those that are being called.
 func (p *Peer) selectMembers() []qm.Member {
 	members, _ := p.opts.Board.Members.Load()
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	var healthy, suspect []qm.Member
 	for _, m := range members {
 		switch {
-		case m.IsSelf || m.PeerAddress == "":
+		case m.IsSelf || m.PeerAddress == "" || p.calls[m.Instance]:
 		case m.State == qm.Suspect:
 			suspect = append(suspect, m)
 		default:
@@ -300,7 +313,7 @@
 }
 
 // applyHint applies a hint about an endpoint and reports whether it was new. A hint about a router is not passed on; if it reports a
-// failure, a check of that router is requested.
+// failure, that router is called.
 func (p *Peer) applyHint(w *peerpb.EndpointHint) bool {
 	h := roster.Hint{
 		Endpoint: qm.EndpointID(w.GetEndpoint()), Incarnation: qm.Incarnation(w.GetIncarnation()),
@@ -317,7 +330,7 @@
 	}
 	if m, ok := p.member(qm.InstanceID(h.Endpoint)); ok {
 		if h.Kind == roster.HintFailed && m.State != qm.Suspect && h.Age < roster.HintValidity {
-			p.requestCheck(m)
+			p.startExchange(m)
 		}
 		return false
 	}
@@ -353,20 +366,6 @@
 	}
 }
 
-// runChecks calls the members for which a check was requested because another router could not reach them.
-func (p *Peer) runChecks(ctx context.Context, checks <-chan qm.Member) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case m := <-checks:
-			if now, ok := p.member(m.Instance); ok && now.State != qm.Suspect {
-				p.exchangeWith(ctx, now)
-			}
-		}
-	}
-}
-
 // announceLeaving calls all members, at a limited rate, once this router begins to leave.
 func (p *Peer) announceLeaving(ctx context.Context) {
 	for !p.opts.Board.IsLeaving() {
--- a/internal/member/peer/peer_test.go
+++ b/internal/member/peer/peer_test.go
@@ -123,13 +123,24 @@
 	}
 }
 
-// platformIntervals are the intervals on the users' platform, shorter than the defaults.
-var platformIntervals = peer.Options{RoundInterval: time.Second, UpdateInterval: 60 * time.Millisecond, Timeout: 500 * time.Millisecond}
+// platformIntervals are the options on the users' platform.
+var platformIntervals = peer.Options{
+	RoundInterval: time.Second, UpdateInterval: 60 * time.Millisecond, Timeout: 500 * time.Millisecond, MaxHints: 32,
+}
+
+// defaultIntervals are the default options.
+var defaultIntervals = peer.Options{RoundInterval: peer.DefaultRoundInterval, UpdateInterval: peer.DefaultUpdateInterval, Timeout: peer.DefaultTimeout}
 
 // maxUnnoticed is the time within which at least one router finds that another one is silent. With Fanout calls per router and round, no
 // router calls it in three rounds in 1 of 400 cases.
 func maxUnnoticed(o peer.Options) time.Duration { return 3*o.RoundInterval*5/4 + 2*o.Timeout }
 
+// maxSpread is the time within which a hint reaches every router. The rounds that follow a change leave 0.2% of the members to the next
+// regular round.
+func maxSpread(members int, o peer.Options) time.Duration {
+	return peer.SpreadTime(members, o.UpdateInterval) + o.RoundInterval*5/4
+}
+
 // TestPowerLossOfNewMember guards against routers that are called by none of the others, which are in the middle of their permutations of
 // the members that they knew before, until those end: nobody would notice that such a router lost power.
 func TestPowerLossOfNewMember(t *testing.T) {
@@ -160,6 +171,36 @@
 	}
 }
 
+// TestHintsSpreadDespitePowerLoss guards against calls without an answer that hold up what the other routers are told.
+func TestHintsSpreadDespitePowerLoss(t *testing.T) {
+	for _, o := range []peer.Options{platformIntervals, defaultIntervals} {
+		for _, c := range []struct{ members, silent int }{{24, 6}, {78, 1}, {78, 20}} {
+			t.Run(fmt.Sprintf("%d of %d, round interval %v", c.silent, c.members, o.RoundInterval), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					nw := newNetworkWithOptions(t, c.members, 0, o)
+					defer nw.stop()
+					time.Sleep(5 * time.Second)
+					for i := range c.silent {
+						nw.powerOff(i)
+					}
+					time.Sleep(o.RoundInterval)
+					nw.node(c.silent).roster.MarkLeaving("engine-1", "i1")
+					took := waitUntil(time.Minute, func() bool {
+						return nw.allNodes(-1, func(n *node) bool {
+							e, _ := n.board.Endpoints.Load()
+							return e[0].State == qm.Leaving
+						})
+					})
+					t.Logf("took %v", took)
+					if within := maxSpread(c.members, o); took > within {
+						t.Errorf("hint known everywhere only after %v, want within %v", took, within)
+					}
+				})
+			})
+		}
+	}
+}
+
 // TestRestartAllTogether guards against suspect states or old incarnations that persist after a restart of all routers.
 func TestRestartAllTogether(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
