Keep the copies of updates whose message got no answer

A router that is one of few reachable ones never told the others that an engine leaves, and requests reached that engine.

Cause: an update is passed on in 4 or 12 messages. Messages to routers that had lost power or were cut off counted like delivered ones, so that an update was gone after 12 such calls.

Change: a call that fails gives its updates back. The other way, to send a suspect router no updates, doesn't cover the calls by which it is found.

--- a/internal/member/peer/outbox.go
+++ b/internal/member/peer/outbox.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"sync"
@@ -32,19 +33,39 @@
 	*q = append(*q, update[T]{key, v, time.Now(), copies})
 }
 
-// take returns at most n updates for one message, newest first, except those whose key is in has. It drops updates without copies left.
+// take returns at most n updates for one message, except those whose key is in has: those with the most copies left first, newest first
+// among equals, so that many updates that come back from failed calls don't keep out the others. It drops updates without copies left.
 func (q *queue[T]) take(n int, has map[string]bool) []update[T] {
-	var out []update[T]
-	for i := len(*q) - 1; i >= 0 && len(out) < n; i-- {
+	var order []*update[T]
+	for i := len(*q) - 1; i >= 0; i-- {
 		if u := &(*q)[i]; !has[u.key] {
-			u.copiesLeft--
-			out = append(out, *u)
+			order = append(order, u)
 		}
 	}
+	slices.SortStableFunc(order, func(a, b *update[T]) int { return cmp.Compare(b.copiesLeft, a.copiesLeft) })
+	var out []update[T]
+	for _, u := range order[:min(n, len(order))] {
+		u.copiesLeft--
+		out = append(out, *u)
+	}
 	*q = slices.DeleteFunc(*q, func(i update[T]) bool { return i.copiesLeft <= 0 })
 	return out
 }
 
+// giveBack returns one copy of each of the given updates, except those that a newer update with their key has replaced.
+func (q *queue[T]) giveBack(given []update[T]) {
+	for _, u := range given {
+		i := slices.IndexFunc(*q, func(x update[T]) bool { return x.key == u.key })
+		switch {
+		case i >= 0 && (*q)[i].queuedAt.Equal(u.queuedAt):
+			(*q)[i].copiesLeft++
+		case i < 0 && len(*q) < maxQueued:
+			u.copiesLeft = 1
+			*q = slices.Insert(*q, 0, u)
+		}
+	}
+}
+
 // outbox holds the updates that a router passes on to its peers. It is safe for concurrent use.
 type outbox struct {
 	// maxHints bounds the hints in a message.
@@ -85,19 +106,6 @@
 	return fmt.Sprintf("%x %d %s %s %s", r.Fingerprints, r.Kind, r.Run.Endpoint, r.Run.Incarnation, r.Request)
 }
 
-// takeReports returns the reports for one message.
-func (o *outbox) takeReports() []*peerpb.RequestReport {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	var out []*peerpb.RequestReport
-	for _, u := range o.reports.take(maxReports, nil) {
-		r := u.value
-		r.Age += time.Since(u.queuedAt)
-		out = append(out, reportToWire(r))
-	}
-	return out
-}
-
 // kindsOfReports maps the kinds of reports to those on the wire.
 var kindsOfReports = map[fatal.ReportKind]peerpb.RequestReport_Kind{
 	fatal.ReportEnded: peerpb.RequestReport_ENDED, fatal.ReportCompleted: peerpb.RequestReport_COMPLETED,
@@ -142,21 +150,47 @@
 	return r
 }
 
+// batch holds the updates of one message.
+type batch struct {
+	states  []update[*peerpb.InstanceState]
+	hints   []update[roster.Hint]
+	reports []update[fatal.Report]
+}
+
 // take returns the updates for one message. has holds the IDs of the instances and endpoints to leave out because the receiver has their
 // updates.
-func (o *outbox) take(has map[string]bool) (others []*peerpb.InstanceState, hints []*peerpb.EndpointHint) {
+func (o *outbox) take(has map[string]bool) batch {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	for _, u := range o.states.take(MaxStates, has) {
-		others = append(others, u.value)
+	return batch{o.states.take(MaxStates, has), o.hints.take(o.maxHints, has), o.reports.take(maxReports, nil)}
+}
+
+// giveBack queues the updates of a message that may not have arrived again.
+func (o *outbox) giveBack(b batch) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.states.giveBack(b.states)
+	o.hints.giveBack(b.hints)
+	o.reports.giveBack(b.reports)
+}
+
+// wire returns the updates as they are sent, without hints that are too old.
+func (b batch) wire() (states []*peerpb.InstanceState, hints []*peerpb.EndpointHint, reports []*peerpb.RequestReport) {
+	for _, u := range b.states {
+		states = append(states, u.value)
 	}
-	for _, u := range o.hints.take(o.maxHints, has) {
+	for _, u := range b.hints {
 		h := u.value
 		if h.Age += time.Since(u.queuedAt); h.Age < roster.HintValidity {
 			hints = append(hints, toWire(h))
 		}
 	}
-	return others, hints
+	for _, u := range b.reports {
+		r := u.value
+		r.Age += time.Since(u.queuedAt)
+		reports = append(reports, reportToWire(r))
+	}
+	return states, hints, reports
 }
 
 // toWire returns the wire message of a hint.
--- a/internal/member/peer/outbox_test.go
+++ b/internal/member/peer/outbox_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	qm "quetzalmount.dev/quetzalmount"
 	"quetzalmount.dev/quetzalmount/internal/limit/fatal"
+	"quetzalmount.dev/quetzalmount/internal/member/roster"
 )
 
 // TestReportOnWire guards against a report that reaches other routers without the parts of the prompt.
@@ -25,3 +27,30 @@
 		}
 	}
 }
+
+// TestTakeAfterGiveBack guards against an update that is sent in no message while others come back from failed calls again and again.
+func TestTakeAfterGiveBack(t *testing.T) {
+	o := outbox{maxHints: 2}
+	o.addHint(roster.Hint{Endpoint: "leaving", Kind: roster.HintLeaving})
+	for i := range 5 {
+		o.addHint(roster.Hint{Endpoint: qm.EndpointID(fmt.Sprint("failed-", i)), Kind: roster.HintFailed})
+	}
+	delivered := map[string]bool{}
+	for range 20 {
+		o.giveBack(o.take(nil))
+		_, hints, _ := o.take(nil).wire()
+		for _, h := range hints {
+			delivered[h.GetEndpoint()] = true
+		}
+	}
+	if len(delivered) != 6 {
+		t.Errorf("hints about %d endpoints sent, want 6", len(delivered))
+	}
+	total := 0
+	for _, u := range o.hints {
+		total += u.copiesLeft
+	}
+	if want := 6*urgentCopies - 40; total != want {
+		t.Errorf("%d copies left after 40 were delivered, want %d", total, want)
+	}
+}
--- a/internal/member/peer/peer.go
+++ b/internal/member/peer/peer.go
@@ -224,8 +224,9 @@
 // exchangeWith exchanges state with one member. If the call fails, a member that is not yet suspect is called once more before it becomes
 // suspect. The second call uses a new connection because the failed one is closed.
 func (p *Peer) exchangeWith(ctx context.Context, m qm.Member) {
-	others, hints := p.outbox.take(map[string]bool{string(m.Instance): true})
-	req := &peerpb.ExchangeRequest{Self: p.ownState(), Others: others, Hints: hints, Reports: p.outbox.takeReports()}
+	sent := p.outbox.take(map[string]bool{string(m.Instance): true})
+	others, hints, reports := sent.wire()
+	req := &peerpb.ExchangeRequest{Self: p.ownState(), Others: others, Hints: hints, Reports: reports}
 	attempts := 2
 	if m.State == qm.Suspect {
 		attempts = 1
@@ -242,6 +243,7 @@
 			return
 		}
 	}
+	p.outbox.giveBack(sent)
 	if p.opts.Roster.MarkPeerFailed(m.Instance, began) {
 		p.outbox.addHint(roster.Hint{
 			Endpoint: qm.EndpointID(m.Instance), Incarnation: m.Incarnation, Kind: roster.HintFailed,
--- a/internal/member/peer/peer_test.go
+++ b/internal/member/peer/peer_test.go
@@ -201,6 +201,28 @@
 	}
 }
 
+// TestHintReachesOneOfFew guards against a hint that is lost since its copies went into calls that got no answer: all routers but one may have
+// lost power, or be cut off.
+func TestHintReachesOneOfFew(t *testing.T) {
+	for range 5 {
+		synctest.Test(t, func(t *testing.T) {
+			nw := newNetwork(t, 42)
+			defer nw.stop()
+			time.Sleep(5 * time.Second)
+			for i := range 40 {
+				nw.powerOff(i)
+			}
+			nw.node(40).roster.MarkLeaving("engine-1", "i1")
+			if took := waitUntil(roster.HintValidity, func() bool {
+				e, _ := nw.node(41).board.Endpoints.Load()
+				return e[0].State == qm.Leaving
+			}); took >= roster.HintValidity {
+				t.Errorf("hint lost")
+			}
+		})
+	}
+}
+
 // TestRestartAllTogether guards against suspect states or old incarnations that persist after a restart of all routers.
 func TestRestartAllTogether(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/member/peer/server.go
+++ b/internal/member/peer/server.go
@@ -39,8 +39,7 @@
 	for _, h := range q.GetHints() {
 		has[h.GetEndpoint()] = true
 	}
-	others, hints := p.outbox.take(has)
-	reports := p.outbox.takeReports()
+	others, hints, reports := p.outbox.take(has).wire()
 	p.applyMessage(q)
 	return &peerpb.ExchangeResponse{Self: p.ownState(), Others: others, Hints: hints, Reports: reports}, nil
 }
