Tell all routers at once of one that doesn't answer

Cause: a router that can't reach another one tells six to twelve others. Each of these called the silent one itself, twice, which takes a second, before it told more, so that each generation of the news added a second; with 76 routers there are three to four. The state of a router is each router's own finding, and the directory names all that aren't suspect.

Change: the news is passed on when it comes, once for a failure, and each router still calls the silent one before it takes it for suspect, as the link may be at fault. The other way, to take the word of another router, is a second faster, but one router with a bad link would take others out of all directories. Shorter grace for memberships (9 s) was the second other way: a list that is incomplete after an outage of the store would take sound routers out.

--- a/internal/member/peer/peer.go
+++ b/internal/member/peer/peer.go
@@ -6,8 +6,8 @@
 //
 // An update starts a round early, at most one in each Options.UpdateInterval, so that a change spreads within a few such
 // intervals although regular rounds are rare. A member that fails to answer twice becomes suspect and the other routers
-// are told. They call the member themselves before they treat it as suspect, because the fault may be in a link that only
-// one router uses.
+// are told. They pass this on at once, but call the member themselves before they treat it as suspect, because the fault may
+// be in a link that only one router uses.
 //
 // The messages are sent over HTTP by Twirp. Without the headers that can be left out, a call takes about 300 bytes plus
 // its payload; see TestBytesPerNode for the figures.
@@ -314,8 +314,8 @@
 	return s.GetLeaving()
 }
 
-// applyHint applies a hint about an endpoint and reports whether it was new. A hint about a router is not passed on; if it reports a
-// failure, that router is called.
+// applyHint applies a hint about an endpoint and reports whether it was new. A hint that a router failed is passed on before this
+// router has called the failed one, since such calls, one after the other, add up.
 func (p *Peer) applyHint(w *peerpb.EndpointHint) bool {
 	h := roster.Hint{
 		Endpoint: qm.EndpointID(w.GetEndpoint()), Incarnation: qm.Incarnation(w.GetIncarnation()),
@@ -331,10 +331,12 @@
 		h.Kind = roster.HintWeights
 	}
 	if m, ok := p.member(qm.InstanceID(h.Endpoint)); ok {
-		if h.Kind == roster.HintFailed && m.State != qm.Suspect && h.Age < roster.HintValidity {
-			p.startExchange(m)
+		if h.Kind != roster.HintFailed || h.Age >= roster.HintValidity || !p.opts.Roster.ApplyPeerFailure(m.Instance, time.Now().Add(-h.Age)) {
+			return false
 		}
-		return false
+		p.startExchange(m)
+		p.outbox.addHint(h)
+		return true
 	}
 	if !p.opts.Roster.ApplyHint(h) {
 		return false
--- a/internal/member/peer/peer_test.go
+++ b/internal/member/peer/peer_test.go
@@ -223,6 +223,54 @@
 	}
 }
 
+// TestPowerLoss guards against routers that lost power and are still taken for live, so that directories name them, long after the first
+// router noticed: calls without an answer must not hold up what is passed on, nor may the calls of one router have to wait for those of
+// another.
+func TestPowerLoss(t *testing.T) {
+	for _, o := range []peer.Options{platformIntervals, defaultIntervals} {
+		for _, c := range []struct{ members, silent int }{{24, 1}, {78, 1}, {78, 2}, {78, 20}, {240, 1}} {
+			t.Run(fmt.Sprintf("%d of %d, round interval %v", c.silent, c.members, o.RoundInterval), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					nw := newNetworkWithOptions(t, c.members, 0, o)
+					defer nw.stop()
+					time.Sleep(5 * time.Second)
+					for i := range c.silent {
+						nw.powerOff(i)
+					}
+					start := time.Now()
+					first, all := make([]time.Duration, c.silent), make([]time.Duration, c.silent)
+					waitUntil(time.Minute, func() bool {
+						done := true
+						for i := range c.silent {
+							suspect := func(n *node) bool { return n.memberView(i).State == qm.Suspect }
+							if first[i] == 0 && !nw.allNodes(-1, func(n *node) bool { return !suspect(n) }) {
+								first[i] = time.Since(start)
+							}
+							if all[i] == 0 && nw.allNodes(-1, suspect) {
+								all[i] = time.Since(start)
+							}
+							done = done && all[i] > 0
+						}
+						return done
+					})
+					maxBehind := 2*o.Timeout + maxSpread(c.members, o)
+					var worstFirst, worstSpread time.Duration
+					for i := range c.silent {
+						if all[i] == 0 {
+							t.Fatalf("router %d still live at some after a minute", i)
+						}
+						worstFirst, worstSpread = max(worstFirst, first[i]), max(worstSpread, all[i]-first[i])
+					}
+					t.Logf("suspect at one router after %v, at all %v later", worstFirst, worstSpread)
+					if worstFirst > maxUnnoticed(o) || worstSpread > maxBehind {
+						t.Errorf("suspect at one router after %v and at all %v later, want within %v and %v", worstFirst, worstSpread, maxUnnoticed(o), maxBehind)
+					}
+				})
+			})
+		}
+	}
+}
+
 // TestRestartAllTogether guards against suspect states or old incarnations that persist after a restart of all routers.
 func TestRestartAllTogether(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/member/roster/member.go
+++ b/internal/member/roster/member.go
@@ -16,6 +16,8 @@
 	listedLeaving, reportedLeaving, suspect bool
 	// lastContact is when the router itself last sent a message.
 	lastContact time.Time
+	// failedAt is the time of the newest failure that another router reported.
+	failedAt time.Time
 	// version is the PeerState.Version of the newest applied state. It orders states that arrive through different peers.
 	version int64
 }
@@ -134,6 +136,20 @@
 	return true
 }
 
+// ApplyPeerFailure records that another router called a router without an answer at the given time, and reports whether that was new: the
+// router is not suspect yet, and the report is not another one of the same failure. The fault may be in the link between the two, so the
+// state of the router stays as it is.
+func (r *Roster) ApplyPeerFailure(id qm.InstanceID, at time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m := r.members[id]
+	if m == nil || m.view.IsSelf || m.suspect || !at.After(m.failedAt.Add(hintTolerance)) {
+		return false
+	}
+	m.failedAt = at
+	return true
+}
+
 // memberViews returns the members ordered by ID. The caller holds r.mu.
 func (r *Roster) memberViews() qm.Members {
 	out := make(qm.Members, 0, len(r.members))
