Say in a repeated conviction when it was passed

Cause: one router repeats a conviction every 2 s, and the report said that it was passed now. If runs had completed elsewhere a moment before, routers that had cleared the request took the report for a newer verdict and convicted it again; the report of the completion, still on its way, cleared it again; and as each of the two was news each time, both were passed on in twelve messages, their ages a little less each time (whole milliseconds, without the time on the way). So they chased each other among all routers until the reports were too old, 30 s.

Change: the report carries the time since the conviction (ran_ms, unused there so far; a router of the version before reads it as before), and a conviction from before the last acquittal is ignored. The other way, to remember reports and apply each once, stops the chase too, but leaves each router with the verdict that happened to come last, the convicted ones for 30 s. TestLateRouter wants that time in the report as well now.

--- a/internal/limit/fatal/ledger.go
+++ b/internal/limit/fatal/ledger.go
@@ -377,13 +377,14 @@
 	return true
 }
 
-// Convict records a conviction that another router reported at a time, and that holds until another one. It reports whether it was new.
+// Convict records a conviction by another router at a time, which holds until another one. It reports whether it was new. A conviction from
+// before the last acquittal isn't: the other router doesn't know of the completions yet.
 func (l *Ledger) Convict(fp qm.Fingerprint, at, until, now time.Time) bool {
 	s := l.suspectOf(fp, now)
 	if l.isConvicted(s, now) || !until.After(now) || !at.After(s.acquitted) {
 		return false
 	}
-	s.convicted, s.sentence, s.testedAt, s.lastChange = now, until.Sub(now), time.Time{}, now
+	s.convicted, s.sentence, s.testedAt, s.lastChange = at, until.Sub(at), time.Time{}, now
 	return true
 }
 
@@ -450,7 +451,7 @@
 // Conviction is a request that is refused.
 type Conviction struct {
 	Fingerprint qm.Fingerprint
-	Until       time.Time
+	At, Until   time.Time
 }
 
 // Convictions returns the requests that are refused.
@@ -458,7 +459,7 @@
 	var out []Conviction
 	for fp, s := range l.suspects {
 		if l.isConvicted(s, now) {
-			out = append(out, Conviction{fp, s.convicted.Add(s.sentence)})
+			out = append(out, Conviction{fp, s.convicted, s.convicted.Add(s.sentence)})
 		}
 	}
 	return out
--- a/internal/limit/fatal/tracker.go
+++ b/internal/limit/fatal/tracker.go
@@ -48,7 +48,8 @@
 	Kind ReportKind
 	// Fingerprints are those of the request, the whole request first; for ReportConvicted the convicted one alone.
 	Fingerprints []qm.Fingerprint
-	// Run and Ran, the time for which the request had run, are set for ReportEnded, For for ReportConvicted.
+	// Run is set for ReportEnded, For for ReportConvicted. Ran is the time for which the request had run, for ReportConvicted the time from the
+	// conviction to this report of it.
 	Run EndpointRun
 	Ran time.Duration
 	// Request is set for ReportEnded and ReportCompleted.
@@ -379,7 +380,7 @@
 	case ReportCompleted:
 		isNew = len(t.acquit(r.Fingerprints, r.Request, at)) > 0
 	case ReportConvicted:
-		if isNew = t.ledger.Convict(r.Fingerprints[0], at, at.Add(r.For), now); isNew {
+		if isNew = t.ledger.Convict(r.Fingerprints[0], at.Add(-r.Ran), at.Add(r.For), now); isNew {
 			convicted = r.Fingerprints[0]
 		}
 	}
@@ -456,7 +457,7 @@
 	for _, c := range convictions {
 		if t.opts.IsFirst(c.Fingerprint) {
 			n++
-			t.queue(Report{Kind: ReportConvicted, Fingerprints: []qm.Fingerprint{c.Fingerprint}, For: c.Until.Sub(now)}, now)
+			t.queue(Report{Kind: ReportConvicted, Fingerprints: []qm.Fingerprint{c.Fingerprint}, Ran: now.Sub(c.At), For: c.Until.Sub(now)}, now)
 		}
 	}
 	t.mu.Unlock()
--- a/internal/limit/fatal/tracker_test.go
+++ b/internal/limit/fatal/tracker_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -79,6 +81,50 @@
 	}
 }
 
+// gossip passes reports on as the routers do, for a time, and returns how many were new to a router. In each step a router sends its reports to
+// two others, each report to twelve in all, with its age in whole milliseconds.
+func (r *routers) gossip(d time.Duration) int {
+	const fanout, copies = 2, 12
+	type sent struct {
+		report fatal.Report
+		at     time.Time
+		left   int
+	}
+	random := rand.New(rand.NewPCG(1, 2))
+	queues := make([][]sent, len(r.trackers))
+	applied := 0
+	for start := time.Now(); time.Since(start) < d; {
+		i := random.IntN(len(r.trackers))
+		for _, report := range r.trackers[i].TakeReports() {
+			queues[i] = append(queues[i], sent{report, time.Now().Add(-report.Age), copies})
+		}
+		var to []int
+		for len(to) < fanout {
+			if j := random.IntN(len(r.trackers)); j != i {
+				to = append(to, j)
+			}
+		}
+		var message []fatal.Report
+		for k := range queues[i] {
+			q := &queues[i][k]
+			q.report.Age = time.Since(q.at).Truncate(time.Millisecond)
+			q.left -= len(to)
+			message = append(message, q.report)
+		}
+		queues[i] = slices.DeleteFunc(queues[i], func(q sent) bool { return q.left <= 0 })
+		time.Sleep(time.Millisecond)
+		for _, j := range to {
+			for _, report := range message {
+				if r.trackers[j].ApplyReport(report) {
+					applied++
+				}
+			}
+		}
+		time.Sleep(time.Duration(random.IntN(10)) * time.Millisecond)
+	}
+	return applied
+}
+
 func (r *routers) mayRun(fp qm.Fingerprint) []bool {
 	var out []bool
 	for _, tr := range r.trackers {
@@ -137,6 +183,38 @@
 	})
 }
 
+// TestContradictoryReports guards against reports that are new again and again: a conviction that is repeated, and completions of runs in
+// progress that the router that repeats it doesn't know yet, would be applied and undone in turns at all routers, and keep out other reports.
+func TestContradictoryReports(t *testing.T) {
+	for before := time.Duration(0); before < 100*time.Millisecond; before += 10 * time.Millisecond {
+		t.Run(fmt.Sprint(before, " before a repetition"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const routers = 8
+				r := newRouters(t, routers, 8)
+				created := time.Now()
+				inProgress := []*fatal.Run{r.mustBegin(t, 1, culprit, "e4"), r.mustBegin(t, 2, culprit, "e5")}
+				r.convictCulprit(t)
+				// Convictions are repeated every 2 s.
+				r.gossip(time.Until(created.Add(4*time.Second - before)))
+				for _, run := range inProgress {
+					run.Completed()
+				}
+				applied := r.gossip(10 * time.Second)
+				// Each completion, and the conviction each time that it is repeated, may be new to each router once.
+				if most := routers * (len(inProgress) + 5); applied > most {
+					t.Errorf("reports were new %d times in 10 s, want %d at most", applied, most)
+				}
+				if applied = r.gossip(5 * time.Second); applied > 0 {
+					t.Errorf("reports were new %d times later, want none", applied)
+				}
+				if diff := cmp.Diff(slices.Repeat([]bool{true}, routers), r.mayRun(culprit)); diff != "" {
+					t.Errorf("the request may not run after as many completions as ends (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
+
 // TestNoEnd guards against accusing requests of connections that were reset, of engines that can't be reached, and of engines that load
 // weights, leave or were replaced.
 func TestNoEnd(t *testing.T) {
@@ -180,7 +258,7 @@
 		r.convictCulprit(t)
 		time.Sleep(3 * time.Second)
 		got := r.trackers[0].TakeReports()
-		want := []fatal.Report{{Kind: fatal.ReportConvicted, Fingerprints: []qm.Fingerprint{culprit}, For: 27 * time.Second}}
+		want := []fatal.Report{{Kind: fatal.ReportConvicted, Fingerprints: []qm.Fingerprint{culprit}, Ran: 2950 * time.Millisecond, For: 27 * time.Second}}
 		if diff := cmp.Diff(want, got[max(0, len(got)-1):], cmpopts.IgnoreFields(fatal.Report{}, "Age", "For")); diff != "" {
 			t.Errorf("the last report (-want +got):\n%s", diff)
 		}
