--- a/internal/member/peer/peer.go
+++ b/internal/member/peer/peer.go
@@ -6,8 +6,8 @@
 //
 // An update starts a round early, at most one in each Options.UpdateInterval, so that a change spreads within a few such
 // intervals although regular rounds are rare. A member that fails to answer twice becomes suspect and the other routers
-// are told. They call the member themselves before they treat it as suspect, because the fault may be in a link that only
-// one router uses.
+// are told. They pass this on at once, but call the member themselves before they treat it as suspect, because the fault may
+// be in a link that only one router uses.
 //
 // The messages are sent over HTTP by Twirp. Without the headers that can be left out, a call takes about 300 bytes plus
 // its payload; see TestBytesPerNode for the figures.
@@ -36,14 +36,20 @@
 	wake   chan struct{}
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
-	// requestCheck queues an extra call to a member; it does nothing if the queue is full.
-	requestCheck func(qm.Member)
+	// startExchange exchanges state with a member in the background, unless that is in progress or the Peer is closed. A member that does
+	// not answer must not hold up what the others are told.
+	startExchange func(qm.Member)
 
-	// callOrder holds the members to call next. Only the goroutine of runRounds uses it.
+	// callOrder holds the rest of the current permutation, the members to call next, and permuted all of its members. Only the goroutine of
+	// runRounds uses them.
 	callOrder []qm.InstanceID
+	permuted  map[qm.InstanceID]bool
 
+	mu sync.Mutex
+	// calls holds the members that are being called.
+	calls  map[qm.InstanceID]bool
+	closed bool
 	// version and lastState are the version and the value of the own state that was sent last.
-	mu        sync.Mutex
 	version   int64
 	lastState *peerpb.InstanceState
 }
@@ -55,24 +61,33 @@
 	p := &Peer{
 		opts: o, cancel: cancel, wake: make(chan struct{}, 1), outbox: outbox{maxHints: o.MaxHints},
 		client:  client{http: transport{next: o.Client, calls: new(atomic.Uint64)}, scheme: o.Scheme, timeout: o.Timeout},
-		version: time.Now().UnixMilli(),
+		version: time.Now().UnixMilli(), permuted: map[qm.InstanceID]bool{}, calls: map[qm.InstanceID]bool{},
 	}
-	checks := make(chan qm.Member, Fanout)
-	p.requestCheck = func(m qm.Member) {
-		select {
-		case checks <- m:
-		default:
+	p.startExchange = func(m qm.Member) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if p.closed || p.calls[m.Instance] {
+			return
 		}
+		p.calls[m.Instance] = true
+		p.wg.Go(func() {
+			p.exchangeWith(ctx, m)
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			delete(p.calls, m.Instance)
+		})
 	}
 	p.wg.Go(func() { p.runRounds(ctx) })
 	p.wg.Go(func() { p.announceLeaving(ctx) })
 	p.wg.Go(func() { p.watchTable(ctx) })
-	p.wg.Go(func() { p.runChecks(ctx, checks) })
 	return p
 }
 
 // Close stops the rounds and waits for calls in progress.
 func (p *Peer) Close() {
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
 	p.cancel()
 	p.wg.Wait()
 }
@@ -103,7 +118,7 @@
 				return
 			}
 		}
-		p.round(ctx)
+		p.round()
 		wait = p.opts.RoundInterval*3/4 + rand.N(p.opts.RoundInterval/2)
 		if extra > 0 {
 			extra--
@@ -125,14 +140,12 @@
 	}
 }
 
-// round calls Fanout random members that are not suspect and one suspect member.
-func (p *Peer) round(ctx context.Context) {
+// round calls Fanout random members that are not suspect and one suspect member. It does not wait for their answers.
+func (p *Peer) round() {
 	p.queueHints()
-	var wg sync.WaitGroup
 	for _, m := range p.selectMembers() {
-		wg.Go(func() { p.exchangeWith(ctx, m) })
+		p.startExchange(m)
 	}
-	wg.Wait()
 }
 
 // queueHints moves the hints of the roster and the reports about requests to the outbox.
@@ -148,13 +161,15 @@
 	}
 }
 
-// selectMembers returns the members to call in a round.
+// selectMembers returns the members to call in a round, without those that are being called.
 func (p *Peer) selectMembers() []qm.Member {
 	members, _ := p.opts.Board.Members.Load()
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	var healthy, suspect []qm.Member
 	for _, m := range members {
 		switch {
-		case m.IsSelf || m.PeerAddress == "":
+		case m.IsSelf || m.PeerAddress == "" || p.calls[m.Instance]:
 		case m.State == qm.Suspect:
 			suspect = append(suspect, m)
 		default:
@@ -171,15 +186,18 @@
 	var out []qm.Member
 	for pass := 0; pass < 2 && len(out) < min(Fanout, len(healthy)); pass++ {
 		if len(p.callOrder) == 0 {
-			for _, m := range sample(healthy, len(healthy)) {
-				p.callOrder = append(p.callOrder, m.Instance)
-			}
+			clear(p.permuted)
 		}
+		p.permuteNew(healthy)
 		for len(p.callOrder) > 0 && len(out) < Fanout {
 			id := p.callOrder[0]
 			p.callOrder = p.callOrder[1:]
 			matches := func(m qm.Member) bool { return m.Instance == id }
-			if i := slices.IndexFunc(healthy, matches); i >= 0 && !slices.ContainsFunc(out, matches) {
+			i := slices.IndexFunc(healthy, matches)
+			if i < 0 {
+				// It has a place in the permutation again once it is healthy.
+				delete(p.permuted, id)
+			} else if !slices.ContainsFunc(out, matches) {
 				out = append(out, healthy[i])
 			}
 		}
@@ -187,6 +205,17 @@
 	return out
 }
 
+// permuteNew inserts the members that the permutation lacks into the rest of it. They join all routers at about the same time, so that
+// otherwise no router would call them until the permutations end, after more than a minute in a system of 200.
+func (p *Peer) permuteNew(healthy []qm.Member) {
+	for _, m := range healthy {
+		if !p.permuted[m.Instance] {
+			p.permuted[m.Instance] = true
+			p.callOrder = slices.Insert(p.callOrder, rand.IntN(len(p.callOrder)+1), m.Instance)
+		}
+	}
+}
+
 // sample shuffles m in place and returns at most n of its members.
 func sample(m []qm.Member, n int) []qm.Member {
 	rand.Shuffle(len(m), func(i, j int) { m[i], m[j] = m[j], m[i] })
@@ -196,8 +225,9 @@
 // exchangeWith exchanges state with one member. If the call fails, a member that is not yet suspect is called once more before it becomes
 // suspect. The second call uses a new connection because the failed one is closed.
 func (p *Peer) exchangeWith(ctx context.Context, m qm.Member) {
-	others, hints := p.outbox.take(map[string]bool{string(m.Instance): true})
-	req := &peerpb.ExchangeRequest{Self: p.ownState(), Others: others, Hints: hints, Reports: p.outbox.takeReports()}
+	sent := p.outbox.take(map[string]bool{string(m.Instance): true})
+	others, hints, reports := sent.wire()
+	req := &peerpb.ExchangeRequest{Self: p.ownState(), Others: others, Hints: hints, Reports: reports}
 	attempts := 2
 	if m.State == qm.Suspect {
 		attempts = 1
@@ -214,6 +244,7 @@
 			return
 		}
 	}
+	p.outbox.giveBack(sent)
 	if p.opts.Roster.MarkPeerFailed(m.Instance, began) {
 		p.outbox.addHint(roster.Hint{
 			Endpoint: qm.EndpointID(m.Instance), Incarnation: m.Incarnation, Kind: roster.HintFailed,
@@ -284,8 +315,8 @@
 	return s.GetLeaving()
 }
 
-// applyHint applies a hint about an endpoint and reports whether it was new. A hint about a router is not passed on; if it reports a
-// failure, a check of that router is requested.
+// applyHint applies a hint about an endpoint and reports whether it was new. A hint that a router failed is passed on before this
+// router has called the failed one, since such calls, one after the other, add up.
 func (p *Peer) applyHint(w *peerpb.EndpointHint) bool {
 	h := roster.Hint{
 		Endpoint: qm.EndpointID(w.GetEndpoint()), Incarnation: qm.Incarnation(w.GetIncarnation()),
@@ -301,10 +332,12 @@
 		h.Kind = roster.HintWeights
 	}
 	if m, ok := p.member(qm.InstanceID(h.Endpoint)); ok {
-		if h.Kind == roster.HintFailed && m.State != qm.Suspect && h.Age < roster.HintValidity {
-			p.requestCheck(m)
+		if h.Kind != roster.HintFailed || h.Age >= roster.HintValidity || !p.opts.Roster.ApplyPeerFailure(m.Instance, time.Now().Add(-h.Age)) {
+			return false
 		}
-		return false
+		p.startExchange(m)
+		p.outbox.addHint(h)
+		return true
 	}
 	if !p.opts.Roster.ApplyHint(h) {
 		return false
@@ -338,20 +371,6 @@
 	}
 }
 
-// runChecks calls the members for which a check was requested because another router could not reach them.
-func (p *Peer) runChecks(ctx context.Context, checks <-chan qm.Member) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case m := <-checks:
-			if now, ok := p.member(m.Instance); ok && now.State != qm.Suspect {
-				p.exchangeWith(ctx, now)
-			}
-		}
-	}
-}
-
 // announceLeaving calls all members, at a limited rate, once this router begins to leave.
 func (p *Peer) announceLeaving(ctx context.Context) {
 	for !p.opts.Board.IsLeaving() {
--- a/internal/member/peer/peer_test.go
+++ b/internal/member/peer/peer_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	qm "quetzalmount.dev/quetzalmount"
+	"quetzalmount.dev/quetzalmount/internal/member/peer"
 	"quetzalmount.dev/quetzalmount/internal/member/roster"
 )
 
@@ -121,6 +123,154 @@
 	}
 }
 
+// platformIntervals are the options on the users' platform.
+var platformIntervals = peer.Options{
+	RoundInterval: time.Second, UpdateInterval: 60 * time.Millisecond, Timeout: 500 * time.Millisecond, MaxHints: 32,
+}
+
+// defaultIntervals are the default options.
+var defaultIntervals = peer.Options{RoundInterval: peer.DefaultRoundInterval, UpdateInterval: peer.DefaultUpdateInterval, Timeout: peer.DefaultTimeout}
+
+// maxUnnoticed is the time within which at least one router finds that another one is silent. With Fanout calls per router and round, no
+// router calls it in three rounds in 1 of 400 cases.
+func maxUnnoticed(o peer.Options) time.Duration { return 3*o.RoundInterval*5/4 + 2*o.Timeout }
+
+// maxSpread is the time within which a hint reaches every router. The rounds that follow a change leave 0.2% of the members to the next
+// regular round.
+func maxSpread(members int, o peer.Options) time.Duration {
+	return peer.SpreadTime(members, o.UpdateInterval) + o.RoundInterval*5/4
+}
+
+// TestPowerLossOfNewMember guards against routers that are called by none of the others, which are in the middle of their permutations of
+// the members that they knew before, until those end: nobody would notice that such a router lost power.
+func TestPowerLossOfNewMember(t *testing.T) {
+	for _, c := range []struct {
+		members, added int
+		// until is the time from the listing of the added ones until one of them loses power.
+		until time.Duration
+	}{{24, 4, 3 * time.Second}, {78, 12, time.Second}, {78, 12, 10 * time.Second}, {78, 12, 20 * time.Second}, {240, 1, 10 * time.Second}} {
+		t.Run(fmt.Sprintf("%d of %d, after %v", c.added, c.members, c.until), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				o := platformIntervals
+				nw := newNetworkWithOptions(t, c.members, c.added, o)
+				defer nw.stop()
+				time.Sleep(5 * time.Second)
+				nw.setUnlisted(0)
+				time.Sleep(listInterval + c.until)
+				last := c.members - 1
+				nw.powerOff(last)
+				took := waitUntil(time.Minute, func() bool {
+					return !nw.allNodes(-1, func(n *node) bool { return n.memberView(last).State != qm.Suspect })
+				})
+				t.Logf("suspect at one router after %v", took)
+				if took > maxUnnoticed(o) {
+					t.Errorf("suspect at one router after %v, want within %v", took, maxUnnoticed(o))
+				}
+			})
+		})
+	}
+}
+
+// TestHintsSpreadDespitePowerLoss guards against calls without an answer that hold up what the other routers are told.
+func TestHintsSpreadDespitePowerLoss(t *testing.T) {
+	for _, o := range []peer.Options{platformIntervals, defaultIntervals} {
+		for _, c := range []struct{ members, silent int }{{24, 6}, {78, 1}, {78, 20}} {
+			t.Run(fmt.Sprintf("%d of %d, round interval %v", c.silent, c.members, o.RoundInterval), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					nw := newNetworkWithOptions(t, c.members, 0, o)
+					defer nw.stop()
+					time.Sleep(5 * time.Second)
+					for i := range c.silent {
+						nw.powerOff(i)
+					}
+					time.Sleep(o.RoundInterval)
+					nw.node(c.silent).roster.MarkLeaving("engine-1", "i1")
+					took := waitUntil(time.Minute, func() bool {
+						return nw.allNodes(-1, func(n *node) bool {
+							e, _ := n.board.Endpoints.Load()
+							return e[0].State == qm.Leaving
+						})
+					})
+					t.Logf("took %v", took)
+					if within := maxSpread(c.members, o); took > within {
+						t.Errorf("hint known everywhere only after %v, want within %v", took, within)
+					}
+				})
+			})
+		}
+	}
+}
+
+// TestHintReachesOneOfFew guards against a hint that is lost since its copies went into calls that got no answer: all routers but one may have
+// lost power, or be cut off.
+func TestHintReachesOneOfFew(t *testing.T) {
+	for range 5 {
+		synctest.Test(t, func(t *testing.T) {
+			nw := newNetwork(t, 42)
+			defer nw.stop()
+			time.Sleep(5 * time.Second)
+			for i := range 40 {
+				nw.powerOff(i)
+			}
+			nw.node(40).roster.MarkLeaving("engine-1", "i1")
+			if took := waitUntil(roster.HintValidity, func() bool {
+				e, _ := nw.node(41).board.Endpoints.Load()
+				return e[0].State == qm.Leaving
+			}); took >= roster.HintValidity {
+				t.Errorf("hint lost")
+			}
+		})
+	}
+}
+
+// TestPowerLoss guards against routers that lost power and are still taken for live, so that directories name them, long after the first
+// router noticed: calls without an answer must not hold up what is passed on, nor may the calls of one router have to wait for those of
+// another.
+func TestPowerLoss(t *testing.T) {
+	for _, o := range []peer.Options{platformIntervals, defaultIntervals} {
+		for _, c := range []struct{ members, silent int }{{24, 1}, {78, 1}, {78, 2}, {78, 20}, {240, 1}} {
+			t.Run(fmt.Sprintf("%d of %d, round interval %v", c.silent, c.members, o.RoundInterval), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					nw := newNetworkWithOptions(t, c.members, 0, o)
+					defer nw.stop()
+					time.Sleep(5 * time.Second)
+					for i := range c.silent {
+						nw.powerOff(i)
+					}
+					start := time.Now()
+					first, all := make([]time.Duration, c.silent), make([]time.Duration, c.silent)
+					waitUntil(time.Minute, func() bool {
+						done := true
+						for i := range c.silent {
+							suspect := func(n *node) bool { return n.memberView(i).State == qm.Suspect }
+							if first[i] == 0 && !nw.allNodes(-1, func(n *node) bool { return !suspect(n) }) {
+								first[i] = time.Since(start)
+							}
+							if all[i] == 0 && nw.allNodes(-1, suspect) {
+								all[i] = time.Since(start)
+							}
+							done = done && all[i] > 0
+						}
+						return done
+					})
+					maxBehind := 2*o.Timeout + maxSpread(c.members, o)
+					var worstFirst, worstSpread time.Duration
+					for i := range c.silent {
+						if all[i] == 0 {
+							t.Fatalf("router %d still live at some after a minute", i)
+						}
+						worstFirst, worstSpread = max(worstFirst, first[i]), max(worstSpread, all[i]-first[i])
+					}
+					t.Logf("suspect at one router after %v, at all %v later", worstFirst, worstSpread)
+					if worstFirst > maxUnnoticed(o) || worstSpread > maxBehind {
+						t.Errorf("suspect at one router after %v and at all %v later, want within %v and %v", worstFirst, worstSpread, maxUnnoticed(o), maxBehind)
+					}
+				})
+			})
+		}
+	}
+}
+
 // TestRestartAllTogether guards against suspect states or old incarnations that persist after a restart of all routers.
 func TestRestartAllTogether(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
