Do not count callers who leave against the process that they called

Cause: invoke ended each attempt without an answer as failed, whatever ended it. Evidence: TestCallerLeaves failed before (1 failed, 0 abandoned). A deadline still counts, as it does for exchanges. Change: an attempt whose context was cancelled is abandoned, and a query ends with it.

--- a/internal/route/invoke/invoke.go
+++ b/internal/route/invoke/invoke.go
@@ -10,6 +10,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/pkg/errors"
+
 	qm "quetzalmount.dev/quetzalmount"
 	"quetzalmount.dev/quetzalmount/internal/route/retry"
 	"quetzalmount.dev/quetzalmount/internal/state/board"
@@ -61,7 +63,7 @@
 			attempt.Succeeded()
 			return status, answer, nil
 		}
-		attempt.Failed(err)
+		endFailed(ctx, attempt, err)
 		last = err
 		if ctx.Err() != nil || !retry.Retryable(err, repeatability) {
 			break
@@ -74,6 +76,15 @@
 	return 0, nil, last
 }
 
+// endFailed ends an attempt that got no answer. A caller who left says nothing about the process.
+func endFailed(ctx context.Context, attempt qm.Attempt, err error) {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		attempt.Abandoned()
+		return
+	}
+	attempt.Failed(err)
+}
+
 // awaitRetry takes a retry from the team's budget and waits for the backoff of retry number n, counted from 0, after err. It reports false
 // if the budget is spent or ctx is done.
 func (i *Invoker) awaitRetry(ctx context.Context, team qm.TeamID, n int, err error) bool {
@@ -98,8 +109,11 @@
 		attempt := i.deps.Health.Begin(e.ID)
 		r, found, err := i.deps.Client.Status(ctx, e, op)
 		if err != nil {
-			attempt.Failed(err)
+			endFailed(ctx, attempt, err)
 			last = err
+			if ctx.Err() != nil {
+				break
+			}
 			continue
 		}
 		attempt.Succeeded()
--- a/internal/route/invoke/invoke_test.go
+++ b/internal/route/invoke/invoke_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"testing"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -102,3 +103,50 @@
 		t.Errorf("Status() = %+v, %v, %v, want the result of the leaving process", r, found, err)
 	}
 }
+
+// countingHealth counts the results of attempts.
+type countingHealth struct {
+	alwaysReady
+	failed, abandoned int
+}
+
+func (h *countingHealth) Begin(qm.EndpointID) qm.Attempt { return h }
+func (h *countingHealth) Failed(error)                   { h.failed++ }
+func (h *countingHealth) Abandoned()                     { h.abandoned++ }
+
+// TestCallerLeaves guards against a process that gets no calls any more because callers gave up theirs.
+func TestCallerLeaves(t *testing.T) {
+	for name, tt := range map[string]struct {
+		cause             error
+		failed, abandoned int
+	}{
+		"caller leaves":  {context.Canceled, 0, 1},
+		"deadline":       {context.DeadlineExceeded, 1, 0},
+		"process failed": {nil, 1, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			switch tt.cause {
+			case context.Canceled:
+				cancel()
+			case context.DeadlineExceeded:
+				var end context.CancelFunc
+				ctx, end = context.WithDeadline(ctx, time.Now().Add(-time.Second))
+				defer end()
+			}
+			lost := qm.Fail(qm.CodeEndpointFailed, "call", "tally-1", errors.New("connection reset"))
+			b := board.New()
+			b.Endpoints.Store(qm.Endpoints{process("1", qm.Live)})
+			h := &countingHealth{}
+			i := invoke.New(invoke.Deps{Board: b, Client: &fakeClient{errs: []error{lost}}, Health: h, TakeRetry: func(qm.TeamID) bool { return false }})
+			call := &qm.Call{Team: "a", Service: &qm.Service{ID: "tally"}, Name: "post"}
+			if _, _, err := i.Dispatch(ctx, "op", call); err == nil {
+				t.Fatal("the call succeeded")
+			}
+			if h.failed != tt.failed || h.abandoned != tt.abandoned {
+				t.Errorf("%d attempts failed and %d were abandoned, want %d and %d", h.failed, h.abandoned, tt.failed, tt.abandoned)
+			}
+		})
+	}
+}
