End quetzalmount serve when one of its listeners fails

Cause: Run waited for all listeners, and only a stop shut them down. Evidence: TestFailedListener, with the stop on a signal only as before, timed out after 5 s. Change: a failure begins the same graceful stop, and Run returns the error.

--- a/internal/entry/server/listen_test.go
+++ b/internal/entry/server/listen_test.go
@@ -140,3 +140,32 @@
 		}
 	}
 }
+
+// TestFailedListener guards against a router that goes on with some of its listeners, and never ends, because one has failed.
+func TestFailedListener(t *testing.T) {
+	var all []*listener
+	for range 2 {
+		l, err := listen("test", "127.0.0.1:0", "", "", 0, http.NotFoundHandler(), &conf.Settings{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		all = append(all, l)
+	}
+	ended := make(chan error, 1)
+	go func() {
+		ended <- serve(t.Context(), all, func() {
+			for _, l := range all {
+				l.shutdown(t.Context(), logr.Discard())
+			}
+		})
+	}()
+	_ = all[0].netListener.Close()
+	select {
+	case err := <-ended:
+		if err == nil {
+			t.Error("the failure is not reported")
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("the router goes on with one listener")
+	}
+}
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -66,20 +66,25 @@
 	return nil
 }
 
-// Run serves until ctx is done, then stops gracefully. It returns nil if all open requests were completed.
+// Run serves until ctx is done or a listener fails, then stops gracefully. It returns nil if all listeners worked until then.
 func (s *Server) Run(ctx context.Context) error {
 	defer s.close()
-	group, serveCtx := errgroup.WithContext(context.Background())
-	for _, l := range s.listeners {
+	s.log.Info("serving", "Instance", s.settings.Instance, "Callers", s.settings.CallersAddress)
+	return errors.WithMessage(serve(ctx, s.listeners, s.drain), "run router")
+}
+
+// serve runs listeners until ctx is done or one of them fails. It then calls drain, which must shut them down, and returns the first failure.
+func serve(ctx context.Context, listeners []*listener, drain func()) error {
+	group, failed := errgroup.WithContext(context.Background())
+	for _, l := range listeners {
 		group.Go(l.serve)
 	}
-	s.log.Info("serving", "Instance", s.settings.Instance, "Callers", s.settings.CallersAddress)
 	select {
 	case <-ctx.Done():
-		s.drain()
-	case <-serveCtx.Done():
+	case <-failed.Done():
 	}
-	return errors.WithMessage(group.Wait(), "run router")
+	drain()
+	return group.Wait()
 }
 
 // drain marks this router as leaving, waits until callers no longer use its address, and shuts its listeners down after their open
