End the probe of a breaker when its caller leaves

Cause: relay ended an attempt only when the engine answered or failed, so that the probe stayed taken until its time limit. Evidence: TestCallerLeavesDuringProbe failed before. Change: an attempt that has neither succeeded nor failed when the request ends at the engine is abandoned, and the next request may probe.

--- a/internal/route/relay/relay.go
+++ b/internal/route/relay/relay.go
@@ -97,6 +97,10 @@
 		Failed:     j.failed,
 		Finished: func(d qm.Placement, mayHaveRun bool, err error) {
 			r.deps.Placer.Finished(&j.placeRequest, d, time.Now())
+			if !j.reported {
+				// The caller has left, which says nothing about the engine. Another request may probe it now.
+				j.attempt.Abandoned()
+			}
 			j.ended(j.tookRequest)
 			j.endRun(ctx, mayHaveRun, err)
 		},
@@ -126,6 +130,8 @@
 	delivered          bool
 	firstTokenRecorded bool
 	attempt            qm.Attempt
+	// reported is set if the current attempt has succeeded or failed.
+	reported bool
 	// fingerprints are those of the completion, nil without Deps.Fatal.
 	fingerprints []qm.Fingerprint
 	// run is the current run in Deps.Fatal, and cancel ends the completion if it must not run any more.
@@ -160,7 +166,7 @@
 		return qm.Placement{}, err
 	}
 	j.relay.deps.Placer.Dispatched(&j.placeRequest, d, now)
-	j.attempt = j.relay.deps.Health.Begin(d.Endpoint.ID)
+	j.attempt, j.reported = j.relay.deps.Health.Begin(d.Endpoint.ID), false
 	j.ended, j.tookRequest = j.relay.deps.Pauses.Sent(d.Endpoint.ID, d.Endpoint.Incarnation, now), false
 	return d, nil
 }
@@ -178,6 +184,7 @@
 
 // failed records a failed attempt, and the pause that the engine asked for when it refused the request.
 func (j *job) failed(d qm.Placement, err error) {
+	j.reported = true
 	j.attempt.Failed(err)
 	var e *qm.Error
 	if errors.As(err, &e) && e.Outcome == qm.OutcomeNotRun && e.Code == qm.CodeNoEndpoint && e.RetryAfter > 0 {
@@ -202,7 +209,7 @@
 // firstToken reports the first chunk from an engine to health and placement, and the first one of the completion to metrics.
 func (j *job) firstToken(d qm.Placement, cached qm.Tokens) {
 	now := time.Now()
-	j.tookRequest = true
+	j.tookRequest, j.reported = true, true
 	j.attempt.Succeeded()
 	j.relay.deps.Placer.FirstToken(&j.placeRequest, d, cached, now)
 	if !j.firstTokenRecorded {
--- a/internal/route/relay/relay_test.go
+++ b/internal/route/relay/relay_test.go
@@ -16,6 +16,7 @@
 	"quetzalmount.dev/quetzalmount/internal/infra/meter"
 	"quetzalmount.dev/quetzalmount/internal/limit/pause"
 	"quetzalmount.dev/quetzalmount/internal/route/relay"
+	"quetzalmount.dev/quetzalmount/internal/route/retry"
 	"quetzalmount.dev/quetzalmount/internal/route/stream"
 	"quetzalmount.dev/quetzalmount/internal/state/board"
 )
@@ -284,3 +285,56 @@
 		}
 	}
 }
+
+// silentEngines are engines that never answer.
+type silentEngines struct{ fakeEngines }
+
+func (e *silentEngines) Start(ctx context.Context, _ *qm.Endpoint, _ *qm.EngineRequest) (qm.ChunkReader, error) {
+	<-ctx.Done()
+	return nil, context.Cause(ctx)
+}
+
+// breakerHealth is a Health with circuit breakers only.
+type breakerHealth struct{ breakers *retry.Breakers }
+
+func (h breakerHealth) Ready(id qm.EndpointID) bool { return h.breakers.Ready(id, time.Now()) }
+func (h breakerHealth) Begin(id qm.EndpointID) qm.Attempt {
+	return breakerAttempt{h.breakers.Begin(id, time.Now())}
+}
+
+type breakerAttempt struct{ permit retry.Permit }
+
+func (a breakerAttempt) Succeeded()   { a.permit.Report(true, time.Now()) }
+func (a breakerAttempt) Failed(error) { a.permit.Report(false, time.Now()) }
+func (a breakerAttempt) Abandoned()   { a.permit.Abandon(time.Now()) }
+
+// TestCallerLeavesDuringProbe guards against an engine that gets no requests for the time limit of a probe, because the caller of the request
+// that probed it has left.
+func TestCallerLeavesDuringProbe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := breakerHealth{retry.NewBreakers()}
+		for range retry.FailuresToOpen {
+			h.Begin("e1").Failed(nil)
+		}
+		time.Sleep(time.Minute) // a probe is due
+		b, f, e := board.New(), &fakeDeps{}, &silentEngines{}
+		b.Endpoints.Store(qm.Endpoints{engine(1, "v2", qm.Live)})
+		m := meter.New("entry-1", 4)
+		defer func() { _ = m.Close() }()
+		s := stream.New(e, stream.Options{})
+		defer func() { _ = s.Close() }()
+		r := relay.New(relay.Deps{Board: b, Admit: f.admit, AcquireSlot: f.acquireSlot, Placer: f, Streamer: s, Health: h, RetryBudget: f, Meter: m, Pauses: pause.New()})
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(100*time.Millisecond, cancel)
+		err := r.Complete(ctx, &qm.Completion{
+			Request: "r", Team: &qm.Team{ID: "t"}, Model: &qm.Model{ID: "m", Group: "g", Version: "v2"},
+			Messages: []qm.Message{{Role: "user", Content: "hello"}}, PromptBytes: 5, MaxTokens: 9,
+		}, func(qm.Chunk) error { return nil })
+		if err == nil {
+			t.Fatal("a completion whose caller has left succeeded")
+		}
+		if !h.Ready("e1") {
+			t.Error("the engine may not be probed by the next request")
+		}
+	})
+}
