--- a/internal/member/peer/peer.go
+++ b/internal/member/peer/peer.go
@@ -204,8 +204,8 @@
 	return out
 }
 
-// permuteNew inserts the members that the permutation lacks into the rest of it. They join all routers at about the same time, so that
-// otherwise no router would call them until the permutations end, after more than a minute in a system of 200.
+// permuteNew inserts the members that the permutation lacks into the rest of it. All routers learn of a new member at about the same time, so
+// that none would call it until the permutations end, which takes 100 rounds in a system of 200.
 func (p *Peer) permuteNew(healthy []qm.Member) {
 	for _, m := range healthy {
 		if !p.permuted[m.Instance] {
