Soak: hold the repeats of each service to its own bound

Cause: a check that was wrong. The retry budget is one of each service, 0.2 times its requests plus 50 in 10 s, and the audit held the sum over both services to the bound of one. TestChecker has both cases.

--- a/internal/soak/audit/audit_test.go
+++ b/internal/soak/audit/audit_test.go
@@ -105,6 +105,10 @@
 		"too many repeats": {func(c *audit.Checker) {
 			record(c, with(func(a *audit.Attempt) { a.Kind = audit.Look }), "e", "f", "g", "h")
 		}, "repeats"},
+		"repeats at two services": {func(c *audit.Checker) {
+			record(c, with(func(a *audit.Attempt) { a.Kind = audit.Look }), "e", "f", "g")
+			record(c, with(func(a *audit.Attempt) { a.ID, a.Kind = "b", audit.Chat }), "m", "n", "o")
+		}, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := audit.New(guarantees)
