Keep units of a loan that are too few to return until there is a message

Cause: returnUnused emptied the loan when it added a return to a batch, and a batch that has only small returns is not sent. Evidence: TestSmallReturns, 3 of 3 units were in a batch without mustSend before. Change: the units stay until a message is sent.

--- a/internal/limit/share/borrow.go
+++ b/internal/limit/share/borrow.go
@@ -165,18 +165,23 @@
 // would not spend before they expire, and reserved units that were not used.
 func (r *rateState) returnUnused(b *batch, id qm.TeamID, name string, p rateSplit, now time.Duration) {
 	units := r.unusedReserve
+	var unspent []*borrowedLoan
 	for i := range r.loans {
 		if s := &r.loans[i]; now-s.requestedAt >= returnAfter && r.useRate*(s.expires-now).Seconds() < s.units {
 			units += s.units
-			s.units = 0
+			unspent = append(unspent, s)
 		}
 	}
-	r.unusedReserve = 0
-	if units <= 0 {
+	// Units that are too few for a message of their own stay here until there is one.
+	b.mustSend = b.mustSend || units > 0 && units >= p.homeBurst*minReturnFraction
+	if units <= 0 || !b.mustSend {
 		return
 	}
+	for _, s := range unspent {
+		s.units = 0
+	}
+	r.unusedReserve = 0
 	b.req.Returns = append(b.req.Returns, &peerpb.BorrowItem{Team: string(id), Dimension: name, Units: units})
-	b.mustSend = b.mustSend || units >= p.homeBurst*minReturnFraction
 }
 
 // requestSlots adds the request for concurrency slots to a message: it renews slots, requests more before they are used up
--- a/internal/limit/share/state_test.go
+++ b/internal/limit/share/state_test.go
@@ -307,3 +307,33 @@
 		})
 	}
 }
+
+// TestSmallReturns guards against units of a loan that are neither used nor returned, because they are too few for a message of their own.
+func TestSmallReturns(t *testing.T) {
+	const later = time.Minute
+	p := rateSplit{limited: true, homeBurst: 160}
+	for name, tt := range map[string]struct {
+		units, reserve float64
+		mustSend       bool
+		returned       float64
+	}{
+		"too few":                        {2, 1, false, 0},
+		"too few, with another message":  {2, 1, true, 3},
+		"enough for a message":           {9, 1, false, 10},
+		"no units, with another message": {0, 0, true, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := rateState{loans: []borrowedLoan{{tt.units, later - returnAfter, later + time.Second}}, unusedReserve: tt.reserve}
+			b := &batch{req: &peerpb.BorrowRequest{}, mustSend: tt.mustSend}
+			r.returnUnused(b, "team", "requests", p, later)
+			returned := 0.0
+			for _, i := range b.req.GetReturns() {
+				returned += i.GetUnits()
+			}
+			kept := r.unusedReserve + r.loans[0].units
+			if returned != tt.returned || returned+kept != tt.units+tt.reserve {
+				t.Errorf("%v units returned and %v kept of %v", returned, kept, tt.units+tt.reserve)
+			}
+		})
+	}
+}
