--- a/route.go
+++ b/route.go
@@ -21,7 +21,8 @@
 // Route defines the endpoint groups, the timeouts and the retry rules for the exchanges of one host and path prefix.
 type Route struct {
 	ID RouteID
-	// Prefix is the path prefix. It begins with a slash.
+	// Prefix is the path prefix. It begins with a slash, and on the users' platform it ends with one. A prefix without it matches longer names
+	// too: "/a" also "/ab".
 	Prefix string
 	Kind   ExchangeKind
 	// Timeout bounds the whole exchange. LatencyObjective is the target latency of a response, 0 for none.
