--- a/internal/soak/round/round_test.go
+++ b/internal/soak/round/round_test.go
@@ -13,17 +13,23 @@
 	"quetzalmount.dev/quetzalmount/internal/soak/round"
 )
 
-// regressionSeeds returns the seeds that have violated a guarantee before, from a file with one seed and its cause a line.
-func regressionSeeds(t *testing.T) []uint64 {
+// regressionSeed is a seed that has violated a guarantee before.
+type regressionSeed struct {
+	seed     uint64
+	overload bool
+}
+
+// regressionSeeds reads the seeds from a file with one seed and its cause a line. The word overload after a seed adds an overload to its round.
+func regressionSeeds(t *testing.T) []regressionSeed {
 	t.Helper()
 	f, err := os.Open(filepath.Join("testdata", "seeds.txt"))
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer func() { _ = f.Close() }()
-	var out []uint64
+	var out []regressionSeed
 	for s := bufio.NewScanner(f); s.Scan(); {
-		number, _, _ := strings.Cut(s.Text(), " ")
+		number, cause, _ := strings.Cut(s.Text(), " ")
 		if number == "" || number == "#" {
 			continue
 		}
@@ -31,7 +37,7 @@
 		if err != nil {
 			t.Fatalf("line %q: %v", s.Text(), err)
 		}
-		out = append(out, n)
+		out = append(out, regressionSeed{n, strings.HasPrefix(cause, "overload ")})
 	}
 	return out
 }
@@ -60,7 +66,7 @@
 	}
 	run(1, 5*time.Second, 6, false)
 	run(2, 10*time.Second, 6, true)
-	for _, seed := range regressionSeeds(t) {
-		run(seed, 15*time.Second, 16, false)
+	for _, s := range regressionSeeds(t) {
+		run(s.seed, 15*time.Second, 16, s.overload)
 	}
 }
