--- a/internal/client/pool/pool.go
+++ b/internal/client/pool/pool.go
@@ -149,7 +149,7 @@
 // as idle, and net/http does not retry a request that failed on one.
 func (p *Pool) Unpooled() http.RoundTripper { return unpooled{p} }
 
-// unpooled is the transport that Unpooled returns.
+// unpooled is the transport that Unpooled returns. It counts sends like the pool, for Trace.SentBefore.
 type unpooled struct{ pool *Pool }
 
 // RoundTrip implements http.RoundTripper.
--- a/internal/soak/audit/audit.go
+++ b/internal/soak/audit/audit.go
@@ -45,6 +45,14 @@
 // IsStreamed reports whether the response is an event stream.
 func (k Kind) IsStreamed() bool { return k == Chat || k == Note }
 
+// service returns the service that runs requests of this kind.
+func (k Kind) service() string {
+	if k.IsStreamed() {
+		return fake.ModelService
+	}
+	return fake.PlainService
+}
+
 // Attempt is one request from the caller's view.
 type Attempt struct {
 	ID     string
@@ -136,8 +144,8 @@
 	submittedAt   map[int]time.Time
 	fences        map[string]fence
 	observed      map[routerRun]observation
-	// arrivals are those at the services that run streams (true) and calls (false).
-	arrivals   map[bool]*arrivalTimes
+	// arrivals holds the arrivals by service.
+	arrivals   map[string]*arrivalTimes
 	arrived    map[send]bool
 	violations []string
 }
@@ -150,7 +158,7 @@
 	return &Checker{
 		guarantees: g, records: map[string]*record{}, faults: map[string][]*interval{}, drainingSince: map[string]time.Time{}, acceptedAt: map[int]time.Time{},
 		submittedAt: map[int]time.Time{}, fences: map[string]fence{}, observed: map[routerRun]observation{}, arrived: map[send]bool{},
-		arrivals: map[bool]*arrivalTimes{true: {}, false: {}},
+		arrivals: map[string]*arrivalTimes{fake.ModelService: {}, fake.PlainService: {}},
 	}
 }
 
@@ -234,7 +242,7 @@
 		r.promises = append(old.promises, promise{sent: old.Sent, next: a.Sent, status: old.Status, router: old.Router})
 	}
 	c.records[a.ID] = r
-	t := c.arrivals[a.Kind.IsStreamed()]
+	t := c.arrivals[a.Kind.service()]
 	t.sent = append(t.sent, a.Sent)
 }
 
@@ -283,7 +291,7 @@
 		}
 	}
 	if c.arrived[s] {
-		t := c.arrivals[r.Kind.IsStreamed()]
+		t := c.arrivals[r.Kind.service()]
 		t.duplicate = append(t.duplicate, ev.Time)
 	}
 	c.arrived[s] = true
