Order what is read from the store by era and offset

What callers see: after the store has returned from a copy that is some seconds old, a configuration that the operator writes afterwards is never in force, new engines get no requests, and engines that drain go on getting them.

Cause: a router kept the offset it had read up to, and for each key the offset of the newest record. Both were beyond the restored history, so that records at offsets that had been read before were skipped as older. A read beyond the end got 410, upon which the router read the newest records, changed nothing, and read from the same offset again, without a pause.

An answer of an earlier era than one that was seen is no answer. A higher era makes each topic be read in full and ends reads that wait, as the return from an outage does.

--- a/ids.go
+++ b/ids.go
@@ -38,6 +38,8 @@
 type (
 	// Offset is the position of a record in a stream of the log. The first record has offset 1; 0 means none.
 	Offset int64
+	// Era numbers the histories of a log. It rises when the log returns from an older copy and gives out offsets again; 0 means unknown.
+	Era int64
 	// Fingerprint identifies what an endpoint is asked to do; see Exchange.Fingerprint. 0 means none.
 	Fingerprint uint64
 	// Tokens is a number of tokens of a prompt or of a response.
--- a/internal/client/reach/reach.go
+++ b/internal/client/reach/reach.go
@@ -13,7 +13,7 @@
 )
 
 // ErrStale is the cause with which the context of a waiting call ends when the server answers another call after an outage.
-var ErrStale = errors.New("the server answered another call after an outage")
+var ErrStale = errors.New("the server answered another call after an outage or a restart")
 
 // Tracker tracks the reachability of one server. It is safe for concurrent use.
 type Tracker struct {
@@ -23,7 +23,7 @@
 	answeredBegan time.Time
 	// waiting holds the repeatable calls without an outcome.
 	waiting map[*Call]bool
-	// regained is closed and replaced when the server answers after an outage.
+	// regained is closed and replaced when the server answers after an outage or a restart.
 	regained chan struct{}
 }
 
@@ -37,7 +37,7 @@
 	return t.lost
 }
 
-// Regained returns a channel that is closed when the server answers for the first time after an outage.
+// Regained returns a channel that is closed when the server answers for the first time after an outage or a restart.
 func (t *Tracker) Regained() <-chan struct{} {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -52,7 +52,7 @@
 }
 
 // Begin starts a call. If the call is repeatable, the returned context ends with the cause ErrStale when another call is answered after an
-// outage. The caller calls Answered or Failed when the outcome is known, and Close in any case.
+// outage or a restart. The caller calls Answered or Failed when the outcome is known, and Close in any case.
 func (t *Tracker) Begin(ctx context.Context, repeatable bool) (context.Context, *Call) {
 	ctx, stop := context.WithCancelCause(ctx)
 	c := &Call{tracker: t, began: time.Now(), stop: stop}
@@ -77,6 +77,18 @@
 		return
 	}
 	t.lost = false
+	t.repeatWaiting()
+}
+
+// Restarted records that the server is not the one that the waiting calls were sent to, and ends them as after an outage.
+func (t *Tracker) Restarted() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.repeatWaiting()
+}
+
+// repeatWaiting ends the calls that wait and closes regained. The caller holds mu.
+func (t *Tracker) repeatWaiting() {
 	for other := range t.waiting {
 		other.stop(ErrStale)
 	}
