Don't take engines for alive that a restored copy of the store still lists

What callers see: requests go to an engine that was gone, or to whatever has its address by now, because the copy from which the store returned still has its entry; with entries ordered by era alone they would. An engine whose entry is missing from the copy would get none until it writes its entry again.

Change: registrations remember what has ended for a minute. Missing entries get the grace period that they get after an outage.

--- a/internal/member/census/census.go
+++ b/internal/member/census/census.go
@@ -2,11 +2,11 @@
 //
 // If a registration ends while the registry is reachable, the endpoint is gone. If it ends while the registry is unreachable, the endpoint
 // may still exist. Such endpoints stay in the list until registrationGrace after the registry is reachable again; by then those that exist
-// have registered again. For routers see Members.
+// have registered again. The same holds if the registry returns from an older copy; registrations that the copy has and that were known to
+// have ended don't count until the registry had time to drop them. For routers see Members.
 package census
 
 import (
-	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -22,10 +22,20 @@
 // registration is the registration of one endpoint.
 type registration struct {
 	endpoint *qm.Endpoint
+	// revision is Change.Revision.
+	revision int64
 	// endedAt is when the registration ended, zero while it is valid.
 	endedAt time.Time
+	// gone is set if the endpoint is no longer listed.
+	gone bool
+	// validFrom is the time from which the registration counts, zero for any time.
+	validFrom time.Time
 }
 
+// endedRetention is the time for which ended registrations are remembered, since a copy from which the registry returns may have them. Copies
+// are some seconds old.
+const endedRetention = time.Minute
+
 // Registrations holds the registrations of endpoints. It is safe for concurrent use.
 type Registrations struct {
 	mu            sync.Mutex
@@ -34,6 +44,8 @@
 	// unreachable.
 	unreachable    bool
 	reachableSince time.Time
+	// restoredUntil is the time until which a registration may come from an older copy.
+	restoredUntil time.Time
 }
 
 // New returns an empty set of registrations.
@@ -43,6 +55,8 @@
 type Change struct {
 	ID       qm.EndpointID
 	Endpoint *qm.Endpoint
+	// Revision numbers what one incarnation of the endpoint has registered, in ascending order; 0 means unknown.
+	Revision int64
 }
 
 // Apply applies changes in order and atomically, so that List never returns a part of them: a router that has just started would take that
@@ -52,16 +66,38 @@
 	defer r.mu.Unlock()
 	old := make([]*qm.Endpoint, len(changes))
 	for i, c := range changes {
-		old[i] = r.registrations[c.ID].endpoint
-		if c.Endpoint != nil {
-			r.registrations[c.ID] = registration{endpoint: c.Endpoint}
-		} else {
+		reg := r.registrations[c.ID]
+		if !reg.gone {
+			old[i] = reg.endpoint
+		}
+		switch {
+		case c.Endpoint == nil:
 			r.end(c.ID, now)
+		case !now.Before(r.restoredUntil) || !reg.outdates(c):
+			r.registrations[c.ID] = registration{endpoint: c.Endpoint, revision: c.Revision}
+		case !reg.endedAt.IsZero():
+			r.registrations[c.ID] = registration{endpoint: c.Endpoint, revision: c.Revision, validFrom: r.restoredUntil}
 		}
 	}
 	return old
 }
 
+// outdates reports whether what is known of the endpoint's incarnation is newer than c, or the end of c.
+func (r registration) outdates(c Change) bool {
+	if r.endpoint == nil || r.endpoint.Incarnation != c.Endpoint.Incarnation || c.Revision == 0 {
+		return false
+	}
+	return c.Revision < r.revision || c.Revision == r.revision && !r.endedAt.IsZero()
+}
+
+// Restored records that the registry has returned from an older copy. A registration that the copy has although it is known to have ended
+// counts if the registry still has it after dropTime, the time in which the registry drops endpoints that are gone.
+func (r *Registrations) Restored(now time.Time, dropTime time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reachableSince, r.restoredUntil = now, now.Add(dropTime)
+}
+
 // end records the end of a registration. The caller holds mu.
 func (r *Registrations) end(id qm.EndpointID, now time.Time) {
 	reg, ok := r.registrations[id]
@@ -85,10 +121,17 @@
 
 // RemoveMissing removes the registrations whose endpoint is not in listed, the complete list from a router that can reach the registry.
 // They get no grace period.
-func (r *Registrations) RemoveMissing(listed map[qm.EndpointID]bool) {
+func (r *Registrations) RemoveMissing(listed map[qm.EndpointID]bool, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	maps.DeleteFunc(r.registrations, func(id qm.EndpointID, _ registration) bool { return !listed[id] })
+	for id, reg := range r.registrations {
+		if !listed[id] {
+			r.end(id, now)
+			reg = r.registrations[id]
+			reg.gone = true
+			r.registrations[id] = reg
+		}
+	}
 }
 
 // SetReachable records whether the registry can be reached, and reports whether that changed.
@@ -118,16 +161,24 @@
 	return r.unreachable || !r.reachableSince.IsZero() && now.Before(r.reachableSince.Add(registrationGrace))
 }
 
-// List returns the endpoints that exist, ordered by ID, and deletes the registrations of those that are gone.
+// List returns the endpoints that exist, ordered by ID.
 func (r *Registrations) List(now time.Time) []*qm.Endpoint {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	inGrace := r.inGrace(now)
 	out := make([]*qm.Endpoint, 0, len(r.registrations))
 	for id, reg := range r.registrations {
-		if !reg.endedAt.IsZero() && !inGrace {
+		switch {
+		case now.Before(reg.validFrom):
+			continue
+		case reg.endedAt.IsZero():
+		case reg.gone && now.Sub(reg.endedAt) >= endedRetention:
 			delete(r.registrations, id)
 			continue
+		case reg.gone || !inGrace:
+			reg.gone = true
+			r.registrations[id] = reg
+			continue
 		}
 		out = append(out, reg.endpoint)
 	}
--- a/internal/member/census/census_test.go
+++ b/internal/member/census/census_test.go
@@ -87,7 +87,7 @@
 	r := census.New()
 	register(r, "a", "b")
 	r.SetReachable(false, time.Unix(0, 0))
-	r.RemoveMissing(map[qm.EndpointID]bool{"a": true})
+	r.RemoveMissing(map[qm.EndpointID]bool{"a": true}, time.Unix(0, 0))
 	if got := r.List(time.Unix(1, 0)); len(got) != 1 || got[0].ID != "a" {
 		t.Errorf("List() = %v, want only a", got)
 	}
