Draw returns of the store from a copy in the soak and in a model of views

TestShort plays a round with it. Entries of KNOWN-RED.txt that name a seed of the soak leave it out, so that their plans stay as they were.

Each of four mutations of package newest fails it (eras left out of the order; records of another era compared by position; records of an earlier era that the last one lacks dropped when read, and when listed).

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -42,6 +42,7 @@
 			&cli.BoolFlag{Name: "overload", Value: true, Usage: "make the engines refuse most requests for some time"},
 			&cli.BoolFlag{Name: "silence", Value: true, Usage: "make engines fall silent at any byte and go on for some time"},
 			&cli.BoolFlag{Name: "reconfigure", Value: true, Usage: "change all of the configuration, not only its keys"},
+			&cli.BoolFlag{Name: "restore", Value: true, Usage: "make the store return from a copy that is some seconds old"},
 			&cli.IntFlag{Name: "callers", Value: 24, Usage: "number of callers"},
 			&cli.StringFlag{Name: "bin", Usage: "`DIR` with the programs; without it they are built"},
 			&cli.StringFlag{Name: "logs", Value: filepath.Join(os.TempDir(), "quetzalmount-soak"), Usage: "`DIR` for the logs of rounds that violated a guarantee"},
@@ -79,7 +80,7 @@
 				r, err := round.Run(round.Options{
 					Seed: seed, Bin: bin, Dir: c.String("logs"), Duration: c.Duration("length"), MaxFaults: c.Int("troubles"),
 					Routers: c.Int("routers"), Engines: c.Int("engines"), PlainProcesses: c.Int("desks"), Callers: c.Int("callers"), Overload: c.Bool("overload"),
-					Silence: c.Bool("silence"), Reconfigure: c.Bool("reconfigure"),
+					Silence: c.Bool("silence"), Reconfigure: c.Bool("reconfigure"), Restore: c.Bool("restore"),
 				})
 				results <- r
 				return err
--- a/internal/soak/fleet/inject.go
+++ b/internal/soak/fleet/inject.go
@@ -51,6 +51,8 @@
 		return f.operator.SetOutage(fake.NoOutage)
 	case plan.StoreTrim:
 		return f.operator.Trim()
+	case plan.StoreRestore:
+		return f.restoreStore(s)
 	case plan.StoreLink:
 		defer f.opts.Checker.BeginFault(audit.StoreOf(r.Name))()
 		injectLinkFault(r.StoreLink, s)
@@ -71,6 +73,30 @@
 	return nil
 }
 
+// restoreStore makes the store return from a copy after it was down for up to a second. What the operator and the engines had written since
+// is written again up to a second later.
+func (f *Fleet) restoreStore(s plan.Step) error {
+	away := time.Duration(s.Target%1000) * time.Millisecond
+	rewriteDelay := time.Duration(s.Target/1000%16) * time.Second / 16
+	if err := f.operator.Backup(); err != nil {
+		return err
+	}
+	time.Sleep(s.Duration)
+	defer f.opts.Checker.BeginFault(audit.Store)()
+	if err := f.operator.SetOutage(fake.Down); err != nil {
+		return err
+	}
+	time.Sleep(away)
+	if err := f.operator.Restore(fake.HeldReads(s.Mode)); err != nil {
+		return err
+	}
+	if err := f.operator.SetOutage(fake.NoOutage); err != nil {
+		return err
+	}
+	time.Sleep(rewriteDelay)
+	return f.operator.Rewrite()
+}
+
 // overloadEngines makes all engines refuse most requests for some time. Engines that start meanwhile refuse none.
 func (f *Fleet) overloadEngines(d time.Duration) error {
 	f.mu.Lock()
--- a/internal/soak/plan/plan.go
+++ b/internal/soak/plan/plan.go
@@ -33,6 +33,8 @@
 	EngineSilence Kind = "EngineSilence"
 	StoreOutage   Kind = "StoreOutage"
 	StoreTrim     Kind = "StoreTrim"
+	// StoreRestore makes the store return from a copy that is as old as the step's duration. See WithRestores.
+	StoreRestore Kind = "StoreRestore"
 	// StoreLink is a network fault between one router and the store, EngineLink between all routers and one engine, CallerLink between
 	// callers and one router.
 	StoreLink  Kind = "StoreLink"
@@ -103,6 +105,19 @@
 	silenceRange = 8 * time.Second
 )
 
+// A round has 1 to maxRestores returns of the store from a copy, each minCopyAge to minCopyAge plus copyAgeRange old.
+const (
+	maxRestores  = 3
+	minCopyAge   = 200 * time.Millisecond
+	copyAgeRange = 6 * time.Second
+)
+
+// Modes of StoreRestore: the reads that wait are cut off, or get no response.
+const (
+	ReadsCut      = "Cut"
+	ReadsSilenced = "Silence"
+)
+
 // maxConfigurations is the largest number of changes that WithConfigurations adds.
 const maxConfigurations = 8
 
@@ -189,6 +204,18 @@
 	return inOrder(steps)
 }
 
+// WithRestores returns steps with some returns of the store from a copy in addition.
+func WithRestores(steps []Step, seed uint64, duration time.Duration) []Step {
+	rnd := rand.New(rand.NewPCG(seed+1, ^seed))
+	for range 1 + rnd.IntN(maxRestores) {
+		steps = append(steps, Step{
+			At: time.Duration(rnd.Int64N(int64(duration))), Kind: StoreRestore, Target: rnd.IntN(1 << 16),
+			Duration: minCopyAge + time.Duration(rnd.Int64N(int64(copyAgeRange))), Mode: []string{ReadsCut, ReadsSilenced}[rnd.IntN(2)],
+		})
+	}
+	return inOrder(steps)
+}
+
 func inOrder(steps []Step) []Step {
 	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return steps
--- a/internal/soak/plan/plan_test.go
+++ b/internal/soak/plan/plan_test.go
@@ -69,6 +69,7 @@
 	}{
 		"overload":       {plan.WithOverload, plan.EnginesOverload, 1, 1, nil},
 		"silence":        {plan.WithSilence, plan.EngineSilence, 1, 3, []string{plan.OneEngine, plan.AllEngines}},
+		"restores":       {plan.WithRestores, plan.StoreRestore, 1, 3, []string{plan.ReadsCut, plan.ReadsSilenced}},
 		"configurations": {plan.WithConfigurations, plan.Configure, 1, 8, nil},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/soak/round/round.go
+++ b/internal/soak/round/round.go
@@ -32,7 +32,9 @@
 	// Reconfigure makes configurations change everything that an operator may change, and adds such changes.
 	Reconfigure bool
 	// Silence adds times in which engines pause and go on.
-	Silence                                   bool
+	Silence bool
+	// Restore adds returns of the store from a copy.
+	Restore                                   bool
 	Routers, Engines, PlainProcesses, Callers int
 }
 
@@ -86,6 +88,9 @@
 	if o.Silence {
 		steps = plan.WithSilence(steps, o.Seed, o.Duration)
 	}
+	if o.Restore {
+		steps = plan.WithRestores(steps, o.Seed, o.Duration)
+	}
 	res := Result{Seed: o.Seed, Faults: len(steps), Logs: filepath.Join(o.Dir, fmt.Sprint("seed-", o.Seed))}
 	if err := os.MkdirAll(res.Logs, 0o755); err != nil {
 		return res, errors.Wrap(err, "create log directory")
--- a/internal/soak/round/round_test.go
+++ b/internal/soak/round/round_test.go
@@ -47,15 +47,15 @@
 // concurrentRounds is the number of rounds at the same time. Each has some 15 processes.
 const concurrentRounds = 4
 
-// TestShort runs short rounds with fixed seeds, one of them with an overload and one with pauses of engines and drawn configurations too, and full
-// rounds with the seeds that have violated a guarantee before.
+// TestShort runs short rounds with fixed seeds, one of them with an overload, one with pauses of engines and drawn configurations too, and one with
+// returns of the store from a copy, and full rounds with the seeds that have violated a guarantee before.
 func TestShort(t *testing.T) {
 	bin := t.TempDir()
 	if err := fleet.Build(t.Context(), bin); err != nil {
 		t.Fatal(err)
 	}
 	slots := make(chan struct{}, concurrentRounds)
-	run := func(seed uint64, duration time.Duration, maxFaults int, overload, all bool) {
+	run := func(seed uint64, duration time.Duration, maxFaults int, overload, all, restore bool) {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			t.Parallel()
 			slots <- struct{}{}
@@ -66,17 +66,18 @@
 				t.Fatal(err)
 			}
 			r, err := round.Run(round.Options{
-				Seed: seed, Bin: bin, Dir: logs, Duration: duration, MaxFaults: maxFaults, Routers: 3, Engines: 3, PlainProcesses: 2, Callers: 12, Overload: overload || all, Silence: all, Reconfigure: all,
+				Seed: seed, Bin: bin, Dir: logs, Duration: duration, MaxFaults: maxFaults, Routers: 3, Engines: 3, PlainProcesses: 2, Callers: 12, Overload: overload || all, Silence: all, Reconfigure: all, Restore: restore,
 			})
 			if err != nil || len(r.Violations) > 0 {
 				t.Errorf("%v %v\n%s", r, err, strings.Join(r.Violations, "\n"))
 			}
 		})
 	}
-	run(1, 5*time.Second, 6, false, false)
-	run(2, 10*time.Second, 6, true, false)
-	run(3, 10*time.Second, 6, true, true)
+	run(1, 5*time.Second, 6, false, false, false)
+	run(2, 10*time.Second, 6, true, false, false)
+	run(3, 10*time.Second, 6, true, true, false)
+	run(4, 10*time.Second, 6, false, false, true)
 	for _, s := range regressionSeeds(t) {
-		run(s.seed, 15*time.Second, 16, false, s.all)
+		run(s.seed, 15*time.Second, 16, false, s.all, false)
 	}
 }
