List engines whose lost entry is written again unchanged

What callers see: an engine that had registered in the part of the history that the store lost, and whose entry is written again as it was, gets no requests for four heartbeats. Found by reading again.

Cause: that the copy lacks an entry ended its registration, and the same entry was then taken for one from before its end. Only ends from before the return count now.

--- a/internal/member/census/census.go
+++ b/internal/member/census/census.go
@@ -44,8 +44,8 @@
 	// unreachable.
 	unreachable    bool
 	reachableSince time.Time
-	// restoredUntil is the time until which a registration may come from an older copy.
-	restoredUntil time.Time
+	// restoredAt is when the registry last returned from an older copy, and restoredUntil the time until which a registration may come from it.
+	restoredAt, restoredUntil time.Time
 }
 
 // New returns an empty set of registrations.
@@ -73,7 +73,7 @@
 		switch {
 		case c.Endpoint == nil:
 			r.end(c.ID, now)
-		case !now.Before(r.restoredUntil) || !reg.outdates(c):
+		case !now.Before(r.restoredUntil) || !reg.outdates(c, r.restoredAt):
 			r.registrations[c.ID] = registration{endpoint: c.Endpoint, revision: c.Revision}
 		case !reg.endedAt.IsZero():
 			r.registrations[c.ID] = registration{endpoint: c.Endpoint, revision: c.Revision, validFrom: r.restoredUntil}
@@ -82,12 +82,14 @@
 	return old
 }
 
-// outdates reports whether what is known of the endpoint's incarnation is newer than c, or the end of c.
-func (r registration) outdates(c Change) bool {
+// outdates reports whether what was known of the endpoint's incarnation before the registry returned from a copy is newer than c, or the end
+// of c. The end of a registration that the copy lacks is not known to be later.
+func (r registration) outdates(c Change, restoredAt time.Time) bool {
 	if r.endpoint == nil || r.endpoint.Incarnation != c.Endpoint.Incarnation || c.Revision == 0 {
 		return false
 	}
-	return c.Revision < r.revision || c.Revision == r.revision && !r.endedAt.IsZero()
+	endedBefore := !r.endedAt.IsZero() && r.endedAt.Before(restoredAt)
+	return c.Revision < r.revision || c.Revision == r.revision && endedBefore
 }
 
 // Restored records that the registry has returned from an older copy. A registration that the copy has although it is known to have ended
@@ -95,7 +97,7 @@
 func (r *Registrations) Restored(now time.Time, dropTime time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.reachableSince, r.restoredUntil = now, now.Add(dropTime)
+	r.reachableSince, r.restoredAt, r.restoredUntil = now, now, now.Add(dropTime)
 }
 
 // end records the end of a registration. The caller holds mu.
