--- a/internal/client/reach/reach_test.go
+++ b/internal/client/reach/reach_test.go
@@ -58,3 +58,24 @@
 		}
 	})
 }
+
+// TestRestarted guards against a read that waits at a server which has been replaced by an older copy of itself.
+func TestRestarted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tr := reach.New()
+		pollCtx, poll := tr.Begin(t.Context(), true)
+		defer poll.Close()
+		writeCtx, write := tr.Begin(t.Context(), false)
+		defer write.Close()
+		regained := tr.Regained()
+		tr.Restarted()
+		select {
+		case <-regained:
+		default:
+			t.Error("the channel of Regained is open after the restart")
+		}
+		if got := context.Cause(pollCtx); got != reach.ErrStale || writeCtx.Err() != nil || tr.Lost() {
+			t.Errorf("the waiting poll ended with %v, the write with %v, lost %v; want %v, none, false", got, writeCtx.Err(), tr.Lost(), reach.ErrStale)
+		}
+	})
+}
