Let a broken stream ask other endpoints again while its caller waits

Cause: after four refusals, or the first try without a unit, the exchange was concluded, although callers wait for two seconds or more and slots become free all the time. Class: something that can still succeed is ended because nothing can replace it at this moment.

Change: such a stream waits 0.2 s and asks one more endpoint if the budget has a unit, until callers abandon a stream. Endpoints that were full or not reached may be asked again. Streams that have not begun are refused at once, as before.

--- a/internal/route/exchg/decide.go
+++ b/internal/route/exchg/decide.go
@@ -56,6 +56,8 @@
 	kind    qm.ExchangeKind
 	maxRuns int
 	counts  attemptCounts
+	// rounds counts the waits after which another endpoint is asked; see mayAskAgain.
+	rounds int
 	// err is the error of the attempt.
 	err *qm.Error
 	// left is the time until the deadline of the exchange.
@@ -72,16 +74,40 @@
 		return finish, false
 	case a.err.Outcome != qm.OutcomeNotRun && a.counts.possibleRuns >= max(a.maxRuns, 1):
 		return finish, false
-	case a.counts.reached >= maxReached || a.counts.unreached >= maxUnreached:
+	case a.counts.reached >= maxReached+a.rounds || a.counts.unreached >= maxUnreached+a.rounds:
 		return finish, false
 	}
-	switch a.err.Code {
-	case qm.CodeEndpointUnreached, qm.CodeEndpointFull, qm.CodeMisdirected, qm.CodeEndpointFailed, qm.CodeEndpointAnsweredError, qm.CodeTimeout:
+	if isEndpointsFault(a.err.Code) {
 		return tryNext, a.counts.reached > 0
 	}
 	return finish, false
 }
 
+// isEndpointsFault reports whether another endpoint may do better after an attempt that ended with the code.
+func isEndpointsFault(c qm.Code) bool {
+	switch c {
+	case qm.CodeEndpointUnreached, qm.CodeEndpointFull, qm.CodeMisdirected, qm.CodeEndpointFailed, qm.CodeEndpointAnsweredError, qm.CodeTimeout:
+		return true
+	}
+	return false
+}
+
+// askAgainInterval is the time after which a stream that is broken off otherwise asks another endpoint.
+const askAgainInterval = 200 * time.Millisecond
+
+// mayAskAgain reports whether a stream that has begun waits for askAgainInterval and asks another endpoint then, after an attempt for which
+// nextAction has nothing left or the retry budget has no unit. Endpoints that refuse, and the budget, may have room later. idle is the time
+// since the last event.
+func mayAskAgain(a failedAttempt, r *qm.Route, idle time.Duration) bool {
+	return r.Kind == qm.Resumable && (isEndpointsFault(a.err.Code) || a.err.Code == qm.CodeNoEndpoint) &&
+		a.counts.possibleRuns < max(a.maxRuns, 1) && a.left >= askAgainInterval+minAttemptTime && idle+askAgainInterval < abandonTime(r)
+}
+
+// abandonTime returns the pause within a stream after which callers abandon it.
+func abandonTime(r *qm.Route) time.Duration {
+	return max(2*time.Second, 4*r.LatencyObjective, 8*r.MaxEventGap)
+}
+
 // mayTakeOver reports whether another endpoint may be tried beside the attempts in progress. c counts those that have ended; refusals and endpoints
 // that were not reached count since the start of the round, since a group that is full may have room later.
 func mayTakeOver(x *qm.Exchange, c attemptCounts, inProgress int, left time.Duration) bool {
--- a/internal/route/exchg/exchg.go
+++ b/internal/route/exchg/exchg.go
@@ -149,6 +149,10 @@
 	configuration int64
 	// lastEvent is the ID of the last event that was delivered.
 	lastEvent string
+	// eventAt is when the head or the last event was delivered, zero before.
+	eventAt time.Time
+	// rounds counts the waits of askAgain.
+	rounds int
 	// started is true once the head of a streamed response was written. It changes with the lock of the current watch.
 	started bool
 	// firstByte is the time from the receipt of the request to the first event or the complete response, 0 before.
@@ -159,8 +163,8 @@
 	// mu guards the fields below, which attempts of a takeover change too.
 	mu     sync.Mutex
 	counts attemptCounts
-	// exclude lists the endpoints whose attempts failed.
-	exclude []qm.EndpointID
+	// exclude lists the endpoints whose attempts failed, mayHaveRoom those of them that were full or not reached.
+	exclude, mayHaveRoom []qm.EndpointID
 	// history holds one record for each attempt, for the log.
 	history []attemptRecord
 	// fallback is a complete response with a server error, which is written if no later attempt succeeds.
@@ -249,14 +253,41 @@
 		if t.next != nil {
 			continue
 		}
-		e := qm.AsError(err)
-		left := time.Until(t.x.EffectiveDeadline)
-		next, needsRetry := nextAction(failedAttempt{kind: t.x.Route.Kind, maxRuns: t.x.Route.MaxAttempts, counts: t.counts, err: e, left: left})
-		if next == tryNext && ctx.Err() == nil && (!needsRetry || t.runner.deps.RetryBudget.TakeRetry(t.x.Group, time.Now())) {
-			continue
+		if e := qm.AsError(err); !t.mayTryNext(ctx, e) && !t.askAgain(ctx, e) {
+			return t.conclude(ctx, e)
+		}
+	}
+}
+
+// failedAttempt returns the input of the decisions after an attempt that ended with e.
+func (t *task) failedAttempt(e *qm.Error) failedAttempt {
+	return failedAttempt{
+		kind: t.x.Route.Kind, maxRuns: t.x.Route.MaxAttempts, counts: t.counts, rounds: t.rounds, err: e, left: time.Until(t.x.EffectiveDeadline),
+	}
+}
+
+// mayTryNext reports whether another attempt follows one that ended with e, and takes the unit of the retry budget that it needs.
+func (t *task) mayTryNext(ctx context.Context, e *qm.Error) bool {
+	next, needsRetry := nextAction(t.failedAttempt(e))
+	return next == tryNext && ctx.Err() == nil && (!needsRetry || t.runner.deps.RetryBudget.TakeRetry(t.x.Group, time.Now()))
+}
+
+// askAgain waits until another endpoint may be asked to go on with a stream that has begun. It returns false if none is to be asked.
+func (t *task) askAgain(ctx context.Context, e *qm.Error) bool {
+	for ctx.Err() == nil && t.started && mayAskAgain(t.failedAttempt(e), t.x.Route, time.Since(t.eventAt)) {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(askAgainInterval):
+		}
+		t.rounds++
+		t.exclude = slices.DeleteFunc(t.exclude, func(id qm.EndpointID) bool { return slices.Contains(t.mayHaveRoom, id) })
+		t.mayHaveRoom = nil
+		if t.runner.deps.RetryBudget.TakeRetry(t.x.Group, time.Now()) {
+			return true
 		}
-		return t.conclude(ctx, e)
 	}
+	return false
 }
 
 // conclude ends an exchange whose last attempt failed with e. It writes the fallback response if there is one, else it returns the error
@@ -359,6 +390,9 @@
 		t.runner.deps.Meter.WrongRequest()
 	}
 	t.exclude = append(t.exclude, p.placement.Endpoint.ID)
+	if e.Code == qm.CodeEndpointFull || e.Code == qm.CodeEndpointUnreached {
+		t.mayHaveRoom = append(t.mayHaveRoom, p.placement.Endpoint.ID)
+	}
 	if e.Code == qm.CodeMisdirected {
 		t.runner.deps.Observer.RecordMisdirected(p.placement.Endpoint, p.exchangeAttempt.Version != "")
 	}
@@ -610,6 +644,7 @@
 			if err := t.writer.WriteEvents(raw, !hasNext); err != nil {
 				return errors.WithMessage(errCallerLeft, err.Error())
 			}
+			t.eventAt = time.Now()
 			if id != "" {
 				t.lastEvent = id
 			}
--- a/internal/route/exchg/takeover.go
+++ b/internal/route/exchg/takeover.go
@@ -174,7 +174,7 @@
 	if err := w.task.writer.BeginStream(w.run.response); err != nil {
 		return errors.WithMessage(errCallerLeft, err.Error())
 	}
-	w.task.started = true
+	w.task.started, w.task.eventAt = true, time.Now()
 	return nil
 }
 
