--- a/internal/member/census/census.go
+++ b/internal/member/census/census.go
@@ -59,16 +59,24 @@
 	Revision int64
 }
 
+// Result is the result of a Change.
+type Result struct {
+	// Before is the endpoint registered before, nil if there was none.
+	Before *qm.Endpoint
+	// Outdated is set if the registration comes from an older copy and does not count now.
+	Outdated bool
+}
+
 // Apply applies changes in order and atomically, so that List never returns a part of them: a router that has just started would take that
-// part for all endpoints. It returns the endpoint registered before each change, nil if there was none.
-func (r *Registrations) Apply(changes []Change, now time.Time) []*qm.Endpoint {
+// part for all endpoints. It returns the result of each change.
+func (r *Registrations) Apply(changes []Change, now time.Time) []Result {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	old := make([]*qm.Endpoint, len(changes))
+	out := make([]Result, len(changes))
 	for i, c := range changes {
 		reg := r.registrations[c.ID]
 		if !reg.gone {
-			old[i] = reg.endpoint
+			out[i].Before = reg.endpoint
 		}
 		switch {
 		case c.Endpoint == nil:
@@ -77,9 +85,12 @@
 			r.registrations[c.ID] = registration{endpoint: c.Endpoint, revision: c.Revision}
 		case !reg.endedAt.IsZero():
 			r.registrations[c.ID] = registration{endpoint: c.Endpoint, revision: c.Revision, validFrom: r.restoredUntil}
+			out[i].Outdated = true
+		default:
+			out[i].Outdated = true
 		}
 	}
-	return old
+	return out
 }
 
 // outdates reports whether what was known of the endpoint's incarnation before the registry returned from a copy is newer than c, or the end
