Settle a router's share of the retry budget anew after a pause of its reads

What callers see: after two outages of the store with a moment between them, the routers repeat up to 1.5 times as many requests as their service allows.

Cause: a router that had just started read the members once between the outages, and next only when its settle time was over. The others had forgotten it by then, and it knew of none that had joined meanwhile.

Change: a router that hasn't settled yet begins anew if half of the settle time has passed without a read. Routers with a share keep it, as before, for the settle time.

--- a/internal/member/census/shares.go
+++ b/internal/member/census/shares.go
@@ -9,16 +9,15 @@
 // concurrent use.
 //
 // Routers that start together or can't reach the registry have different lists. Therefore a router has no share until settle after its first
-// read, and none from settle after its last one. If settle is the time within which routers that read appear in each other's lists, the shares of
-// all routers add up to at most one: a router that stopped reading may not count one that joined since, which has no share yet; and one that joined
+// read, and none from settle after its last one. The time begins anew if half of it, which is less than a membership lasts, passes without a
+// read. If settle is the time within which routers that read appear in each other's lists, the shares of all routers add up to at most one: a router that stopped reading may not count one that joined since, which has no share yet; and one that joined
 // after the membership of the other expired may not count that one, which has no share any more. They may add up to more if a router joins, or
 // returns after it was forgotten, while another one is cut off for longer than its membership lasts, and is cut off itself when that one is back.
 type Shares struct {
 	settle, history time.Duration
 
 	mu sync.Mutex
-	// firstRead is the time of the first read, or of the first one after the share had lapsed. lastRead is the time at which the last read
-	// began.
+	// firstRead is the time of the read from which settle counts. lastRead is the time at which the last read began.
 	firstRead, lastRead time.Duration
 	// counts holds the numbers of members that were read, oldest first. It is empty before the first read.
 	counts []memberCount
@@ -39,7 +38,10 @@
 func (s *Shares) Record(members int, began, ended time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.counts) == 0 || began >= s.lastRead+s.settle {
+	lapsed := len(s.counts) == 0 || began >= s.lastRead+s.settle
+	// A router that hasn't settled yet may have been forgotten by the others since it read last.
+	forgotten := began < s.firstRead+s.settle && began >= s.lastRead+s.settle/2
+	if lapsed || forgotten {
 		s.firstRead, s.counts = ended, nil
 	}
 	s.lastRead = began
