Send routers that may be down no updates about others

Cause: an update has a limited number of copies. Each call that tries a router which another one reports failed, or which is suspect, took a copy, and gave it back two seconds later; 20 such calls use up the 12 copies.

Change: such calls carry this router's state alone. A router that is up gets the updates with its own calls.

--- a/internal/member/peer/peer.go
+++ b/internal/member/peer/peer.go
@@ -38,7 +38,7 @@
 	wg     sync.WaitGroup
 	// startExchange exchanges state with a member in the background, unless that is in progress or the Peer is closed. A member that does
 	// not answer must not hold up what the others are told.
-	startExchange func(qm.Member)
+	startExchange func(qm.Member, payload)
 
 	// callOrder holds the rest of the current permutation, the members to call next, and permuted all of its members. Only the goroutine of
 	// runRounds uses them.
@@ -63,7 +63,7 @@
 		client:  client{http: transport{next: o.Client, calls: new(atomic.Uint64)}, scheme: o.Scheme, timeout: o.Timeout},
 		version: time.Now().UnixMilli(), permuted: map[qm.InstanceID]bool{}, calls: map[qm.InstanceID]bool{},
 	}
-	p.startExchange = func(m qm.Member) {
+	p.startExchange = func(m qm.Member, with payload) {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		if p.closed || p.calls[m.Instance] {
@@ -71,7 +71,7 @@
 		}
 		p.calls[m.Instance] = true
 		p.wg.Go(func() {
-			p.exchangeWith(ctx, m)
+			p.exchangeWith(ctx, m, with)
 			p.mu.Lock()
 			defer p.mu.Unlock()
 			delete(p.calls, m.Instance)
@@ -144,7 +144,11 @@
 func (p *Peer) round() {
 	p.queueHints()
 	for _, m := range p.selectMembers() {
-		p.startExchange(m)
+		with := withUpdates
+		if m.State == qm.Suspect {
+			with = ownStateOnly
+		}
+		p.startExchange(m, with)
 	}
 }
 
@@ -222,10 +226,24 @@
 	return m[:min(n, len(m))]
 }
 
+// payload is what a call to another router carries.
+type payload int
+
+const (
+	// withUpdates carries updates about others too, whose number of copies is limited.
+	withUpdates payload = iota
+	// ownStateOnly is for routers that may be down. Until such a call ends without an answer, copies of updates would be missing elsewhere; a
+	// router that is up gets them with its own calls.
+	ownStateOnly
+)
+
 // exchangeWith exchanges state with one member. If the call fails, a member that is not yet suspect is called once more before it becomes
 // suspect. The second call uses a new connection because the failed one is closed.
-func (p *Peer) exchangeWith(ctx context.Context, m qm.Member) {
-	sent := p.outbox.take(map[string]bool{string(m.Instance): true})
+func (p *Peer) exchangeWith(ctx context.Context, m qm.Member, with payload) {
+	var sent batch
+	if with == withUpdates {
+		sent = p.outbox.take(map[string]bool{string(m.Instance): true})
+	}
 	others, hints, reports := sent.wire()
 	req := &peerpb.ExchangeRequest{Self: p.ownState(), Others: others, Hints: hints, Reports: reports}
 	attempts := 2
@@ -335,7 +353,7 @@
 		if h.Kind != roster.HintFailed || h.Age >= roster.HintValidity || !p.opts.Roster.ApplyPeerFailure(m.Instance, time.Now().Add(-h.Age)) {
 			return false
 		}
-		p.startExchange(m)
+		p.startExchange(m, ownStateOnly)
 		p.outbox.addHint(h)
 		return true
 	}
@@ -395,6 +413,6 @@
 		if limit.Wait(ctx) != nil {
 			return
 		}
-		wg.Go(func() { p.exchangeWith(ctx, m) })
+		wg.Go(func() { p.exchangeWith(ctx, m, withUpdates) })
 	}
 }
