Let the soak's link to an engine that has ended refuse connections

The store was away or slow from before the engine drained (35.6 s) until it had ended (41.6 s), so that the routers could not know: its entry was missing from the first full read, and such engines stay listed for two seconds, as the users' page has it. A process that is gone refuses connections, nothing is sent and another one is tried; but the link in between accepted them, took the request in and reset them. It is closed now when its engine ends for good. The check stays as it is.

--- a/internal/soak/fleet/inject.go
+++ b/internal/soak/fleet/inject.go
@@ -154,6 +154,7 @@
 		f.opts.Checker.BeginFault(e.ID)
 		f.remove(e)
 		e.proc.kill()
+		e.Link.Close()
 		time.Sleep(registrationTimeout)
 		if err := f.operator.DeleteEntry(e.ID); err != nil {
 			return err
@@ -179,6 +180,8 @@
 		if !e.proc.stop(stopTimeout) {
 			f.opts.Checker.AddViolation("soak: engine %s did not stop", e.ID)
 		}
+		// The link would accept connections to a process that is gone, which refuses them.
+		e.Link.Close()
 	case plan.EngineFreeze:
 		defer f.opts.Checker.BeginFault(e.ID)()
 		suspend(e.proc, s.Duration)
