--- a/internal/soak/fleet/inject.go
+++ b/internal/soak/fleet/inject.go
@@ -180,7 +180,7 @@
 		if !e.proc.stop(stopTimeout) {
 			f.opts.Checker.AddViolation("soak: engine %s did not stop", e.ID)
 		}
-		// The link would accept connections to a process that is gone, which refuses them.
+		// The link would accept connections to a process that is gone.
 		e.Link.Close()
 	case plan.EngineFreeze:
 		defer f.opts.Checker.BeginFault(e.ID)()
