--- a/ids.go
+++ b/ids.go
@@ -38,7 +38,8 @@
 type (
 	// Offset is the position of a record in a stream of the log. The first record has offset 1; 0 means none.
 	Offset int64
-	// Era numbers the histories of a log. It rises when the log returns from an older copy and gives out offsets again; 0 means unknown.
+	// Era numbers the histories of a log. It rises when the log returns from an older copy and gives out offsets again. Logs without eras
+	// have era 0, and the first era may be 0 too.
 	Era int64
 	// Fingerprint identifies what an endpoint is asked to do; see Exchange.Fingerprint. 0 means none.
 	Fingerprint uint64
--- a/internal/client/reach/reach.go
+++ b/internal/client/reach/reach.go
@@ -12,7 +12,8 @@
 	"github.com/pkg/errors"
 )
 
-// ErrStale is the cause with which the context of a waiting call ends when the server answers another call after an outage.
+// ErrStale is the cause with which the context of a waiting call ends when the server answers another call after an outage or a
+// restart.
 var ErrStale = errors.New("the server answered another call after an outage or a restart")
 
 // Tracker tracks the reachability of one server. It is safe for concurrent use.
--- a/internal/member/census/shares.go
+++ b/internal/member/census/shares.go
@@ -10,8 +10,8 @@
 //
 // Routers that start together or can't reach the registry have different lists. Therefore a router has no share until settle after its first
 // read, and none from settle after its last one. The time begins anew if half of it, which is less than a membership lasts, passes without a
-// read. If settle is the time within which routers that read appear in each other's lists, the shares of all routers add up to at most one: a router that stopped reading may not count one that joined since, which has no share yet; and one that joined
-// after the membership of the other expired may not count that one, which has no share any more. They may add up to more if a router joins, or
+// read. If settle is the time within which routers that read appear in each other's lists, the shares of all routers add up to at most one: a
+// router that stopped reading may not count one that joined since, which has no share yet; and one that joined after the membership of the other expired may not count that one, which has no share any more. They may add up to more if a router joins, or
 // returns after it was forgotten, while another one is cut off for longer than its membership lasts, and is cut off itself when that one is back.
 type Shares struct {
 	settle, history time.Duration
--- a/internal/state/newest/newest.go
+++ b/internal/state/newest/newest.go
@@ -22,7 +22,7 @@
 	return cmp.Or(cmp.Compare(p.Era, q.Era), cmp.Compare(p.Offset, q.Offset))
 }
 
-// Ordinal returns a number that orders positions. It is the offset while the era is unknown.
+// Ordinal returns a number that orders positions, for up to 1<<40 offsets and 1<<23 eras. In era 0 it is the offset.
 func (p Position) Ordinal() int64 { return int64(p.Era)<<eraShift + int64(p.Offset) }
 
 // Record is a record of a topic. A nil Value means that the key was deleted.
