Leave a request on old weights the time of its objective to begin

The margin was twice the expected time to the first token, which a busy engine exceeds many times over. It is now at least twice the objective, bounded by a sixth of the time for which old weights may be used.

--- a/internal/route/exchg/engines.go
+++ b/internal/route/exchg/engines.go
@@ -55,13 +55,20 @@
 	if t.runner.deps.OldWeightsGrace <= 0 || v == desired.Version {
 		return false
 	}
-	start := now.Add(startMargin * d.ExpectedTTFT)
-	return qm.VersionNumber(v) < desired.MinUsableNumber(start, t.runner.deps.OldWeightsGrace)
+	grace := t.runner.deps.OldWeightsGrace
+	usual := min(t.x.Route.LatencyObjective, time.Duration(maxStartFraction*float64(grace)))
+	start := now.Add(max(startMargin*d.ExpectedTTFT, startMargin*usual))
+	return qm.VersionNumber(v) < desired.MinUsableNumber(start, grace)
 }
 
-// startMargin multiplies the expected time to the first token to give the time by which a request has begun to run.
+// startMargin multiplies the expected time to the first token, or the objective if that is longer, to give the time by which a request has
+// begun to run. An engine that is slower than expected still begins most requests within their objective.
 const startMargin = 2
 
+// maxStartFraction bounds the objective that startMargin multiplies, as a fraction of OldWeightsGrace. Otherwise a route with a long objective
+// could not use older weights at all.
+const maxStartFraction = 1.0 / 12
+
 // desiredShareFactor times the fraction of live engines with the desired weights is the fraction of requests that may go to them. Many
 // routers that know little of each other's load would otherwise send all requests to the first engines that have the new weights.
 const desiredShareFactor = 1.6
--- a/internal/route/exchg/weights_test.go
+++ b/internal/route/exchg/weights_test.go
@@ -59,3 +59,36 @@
 		})
 	}
 }
+
+// TestOldWeightsSlowEngine guards against a request that begins on older weights after the bound, because its engine was far slower than the
+// expected time to the first token: in calm a request that was expected at once began 0.8 s, its objective, after it was sent.
+func TestOldWeightsSlowEngine(t *testing.T) {
+	for _, tt := range []struct {
+		objective time.Duration
+		want      string
+	}{{100 * time.Millisecond, "old"}, {800 * time.Millisecond, "new"}} {
+		synctest.Test(t, func(t *testing.T) {
+			const grace = 9500 * time.Millisecond
+			client := &scriptedClient{steps: []func(context.Context) (*qm.Response, error){answerWith(200, "ok", nil)}}
+			deps := newDeps(t, client)
+			deps.OldWeightsGrace = grace
+			deps.Engines = busyPlacer{Placer: deps.Engines, ttft: 50 * time.Millisecond}
+			deps.Board.Endpoints.Store(qm.Endpoints{
+				{ID: "old", Group: "g", State: qm.Live, Models: map[qm.ModelID]qm.VersionID{"m": "1"}},
+				{ID: "new", Group: "g", State: qm.Suspect, Models: map[qm.ModelID]qm.VersionID{"m": "2"}},
+			})
+			now := time.Now()
+			deps.Board.Weights.Store(map[qm.ModelID]qm.DesiredWeights{"m": {Version: "2", Number: 2, SeenAt: now.Add(800*time.Millisecond - grace)}})
+			err := exchg.New(deps).Run(t.Context(), &qm.Exchange{
+				Route: &qm.Route{ID: "r", Kind: qm.Idempotent, MaxAttempts: 1, LatencyObjective: tt.objective}, Group: "g", Model: "m",
+				Target: &url.URL{Path: "/"}, Received: now, CallerDeadline: now.Add(time.Minute), EffectiveDeadline: now.Add(time.Minute),
+			}, &recorder{})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := client.attempts[0].Endpoint.ID; string(got) != tt.want {
+				t.Errorf("objective %v, 800 ms before the bound: sent to %s, want %s", tt.objective, got, tt.want)
+			}
+		})
+	}
+}
