Separate long prompts from short streams on large fleets

An engine that reads long prompts without a pause makes one token of each stream per chunk, so that an event of nine tokens takes 400 to 500 ms. Routes whose prompts are far longer than those of others get engines of their own; internal/route/lane decides which, without messages.

--- a/internal/route/exchg/engines.go
+++ b/internal/route/exchg/engines.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	qm "quetzalmount.dev/quetzalmount"
+	"quetzalmount.dev/quetzalmount/internal/route/lane"
 )
 
 // oldVersionPenalty is the fraction of the objective by which an engine with other weights than the desired ones must be faster to be
@@ -30,8 +31,7 @@
 	}
 	for _, v := range usableVersions {
 		q.Spans = prefixSpans(t.x, v)
-		d, ok := t.runner.deps.Engines.Place(q, withVersion(candidates, t.x.Model, v), now, rnd)
-		q.PlacedBefore = true
+		d, ok := t.placeInLane(q, withVersion(candidates, t.x.Model, v), now, rnd)
 		if !ok || t.startsTooLate(v, desired, d, now) {
 			continue
 		}
@@ -50,6 +50,34 @@
 	return best, bestVersion, best.Endpoint != nil
 }
 
+// placeInLane places a request in its lane, or among the engines for overflow if its first token would be late in the lane and is expected
+// earlier there.
+func (t *task) placeInLane(q *qm.PlaceRequest, candidates []*qm.Endpoint, now time.Time, rnd *rand.Rand) (qm.Placement, bool) {
+	place := func(engines []*qm.Endpoint) (qm.Placement, bool) {
+		d, ok := t.runner.deps.Engines.Place(q, engines, now, rnd)
+		q.PlacedBefore = true
+		return d, ok
+	}
+	if t.runner.deps.Lanes == nil {
+		return place(candidates)
+	}
+	all, _ := t.runner.deps.Board.Endpoints.Load()
+	slots := 0
+	if routes, ok := t.runner.deps.Board.Routes.Load(); ok && routes.Groups[t.x.Group] != nil {
+		slots = routes.Groups[t.x.Group].Slots
+	}
+	c := t.runner.deps.Lanes.Choose(lane.Request{Group: t.x.Group, Route: t.x.Route.ID, PromptTokens: t.x.PromptTokens, Slots: slots}, all, candidates, now)
+	d, ok := place(c.Engines)
+	if ok && d.Endpoint.State == qm.Live && !c.IsLate(d.ExpectedTTFT, t.x.Route.LatencyObjective) || len(c.Overflow) == 0 {
+		return d, ok
+	}
+	other, otherOK := place(c.Overflow)
+	if otherOK && (!ok || d.Endpoint.State != qm.Live && other.Endpoint.State == qm.Live || other.ExpectedTTFT < d.ExpectedTTFT) {
+		return other, true
+	}
+	return d, ok
+}
+
 // startsTooLate reports whether a request that is sent to an engine with older weights may wait there until they may no longer be used.
 func (t *task) startsTooLate(v qm.VersionID, desired qm.DesiredWeights, d qm.Placement, now time.Time) bool {
 	if t.runner.deps.OldWeightsGrace <= 0 || v == desired.Version {
--- a/internal/route/exchg/exchg.go
+++ b/internal/route/exchg/exchg.go
@@ -31,6 +31,7 @@
 	"quetzalmount.dev/quetzalmount/internal/limit/fatal"
 	"quetzalmount.dev/quetzalmount/internal/limit/pause"
 	"quetzalmount.dev/quetzalmount/internal/limit/shed"
+	"quetzalmount.dev/quetzalmount/internal/route/lane"
 	"quetzalmount.dev/quetzalmount/internal/route/retry"
 	"quetzalmount.dev/quetzalmount/internal/state/board"
 )
@@ -55,6 +56,8 @@
 	Health            qm.Health
 	// Pauses holds the endpoints that have asked for no requests; nil for none.
 	Pauses *pause.Table
+	// Lanes separates long prompts from short streams; nil for not at all.
+	Lanes *lane.Lanes
 	// Fatal recognises requests that end engines; nil for none.
 	Fatal *fatal.Tracker
 	// Probe probes the endpoint of a response that ended with its connection; nil if such responses are always whole.
@@ -345,6 +348,9 @@
 	}
 	a.close()
 	a.finished(time.Now())
+	if t.runner.deps.Lanes != nil && t.x.Model != "" && !a.firstAt.IsZero() {
+		t.runner.deps.Lanes.RecordEnd(t.x.Group, t.x.Route.ID, time.Since(a.firstAt), time.Now())
+	}
 	a.ended(err == nil || qm.AsError(err).Outcome != qm.OutcomeNotRun)
 	record := attemptRecord{
 		Endpoint: a.placement.Endpoint.ID, Address: a.placement.Endpoint.Address, Reason: a.placement.Reason,
@@ -746,6 +752,9 @@
 		attempt.CacheStore = q.CacheStore
 	}
 	placer.Dispatched(q, d, now)
+	if t.runner.deps.Lanes != nil && t.x.Model != "" {
+		t.runner.deps.Lanes.RecordStart(t.x.Group, t.x.Route.ID, t.x.PromptTokens, d.ExpectedTTFT-d.QueueDelay, now)
+	}
 	return &placedAttempt{
 		ended:  t.runner.pauseSent(d.Endpoint, now),
 		placer: placer, placeRequest: q, placement: d, exchangeAttempt: attempt, healthAttempt: t.runner.deps.Health.Begin(d.Endpoint.ID),
@@ -769,11 +778,14 @@
 	sentAt, headAt time.Time
 	// progressAt is when the endpoint last sent the head or an event, or the exchange was sent.
 	progressAt time.Time
+	// firstAt is when the first event or the complete response arrived, zero before.
+	firstAt time.Time
 }
 
 // recordFirstByte reports the arrival of the first event or the complete response to placement and metrics. Responses do not carry the
 // number of cached prompt tokens, so the expected number is reported.
 func (t *task) recordFirstByte(p *placedAttempt, now time.Time) {
+	p.firstAt = now
 	p.placer.FirstToken(p.placeRequest, p.placement, p.placement.CachedTokens, now)
 	t.runner.deps.Meter.Step(meter.StepFirst, now.Sub(p.headAt))
 	t.runner.deps.Meter.Endpoint(p.placement.Endpoint.ID).FirstResponse(now.Sub(p.sentAt))
