Count no answer that was broken off amid an upload, and no status that is not final

The end of a connection now counts only once the request is written. A status of 000, 001, 099, 101, 600 or 999 was taken for an answer, and net/http panics when one below 100 is passed on; all clients of the pool now return an error and close the connection.

--- a/internal/cli/verbs/call.go
+++ b/internal/cli/verbs/call.go
@@ -130,7 +130,7 @@
 	if k := c.String("idempotency-key"); k != "" {
 		req.Header.Set("Idempotency-Key", k)
 	}
-	res, err := http.DefaultClient.Do(req)
+	res, err := httpClient.Do(req)
 	if err != nil {
 		return errors.WithMessage(err, "send request")
 	}
--- a/internal/cli/verbs/status.go
+++ b/internal/cli/verbs/status.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 
+	"quetzalmount.dev/quetzalmount/internal/client/pool"
 	"quetzalmount.dev/quetzalmount/internal/wire/admin"
 )
 
@@ -103,6 +104,9 @@
 	}
 }
 
+// httpClient checks the status and the end of answers like the routers' clients do.
+var httpClient = &http.Client{Transport: pool.New(pool.Options{}).Unpooled()}
+
 func printMetrics(ctx context.Context, c *cli.Command, address string, stdout io.Writer) error {
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
@@ -111,7 +115,7 @@
 		return usageErrorf("--instances %q: %v", address, err)
 	}
 	req.Header.Set("Authorization", "Bearer "+c.String("operator-key"))
-	res, err := http.DefaultClient.Do(req)
+	res, err := httpClient.Do(req)
 	if err != nil {
 		return err
 	}
--- a/internal/client/pool/pool.go
+++ b/internal/client/pool/pool.go
@@ -122,7 +122,7 @@
 				return nil, errors.Wrap(err, "set linger")
 			}
 		}
-		return &conn{Conn: c}, nil
+		return newConn(c), nil
 	}
 	p.unpooled = p.newTransport()
 	p.unpooled.DisableKeepAlives = true
@@ -142,7 +142,7 @@
 
 // RoundTrip implements http.RoundTripper over pooled connections.
 func (p *Pool) RoundTrip(r *http.Request) (*http.Response, error) {
-	return p.transportFor(r).RoundTrip(r)
+	return send(p.transportFor(r), r)
 }
 
 // Unpooled returns a transport that opens a new connection for each request. The peer cannot have closed a new connection
@@ -157,7 +157,7 @@
 	u.pool.mu.Lock()
 	u.pool.currentGeneration().recordSend(r)
 	u.pool.mu.Unlock()
-	return u.pool.unpooled.RoundTrip(r)
+	return send(u.pool.unpooled, r)
 }
 
 // transportFor returns the transport for a request.
--- a/internal/client/pool/trace.go
+++ b/internal/client/pool/trace.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"net"
 	"net/http/httptrace"
 	"sync"
@@ -19,12 +18,15 @@
 // even if a goroutine of the transport is about to write.
 type conn struct {
 	net.Conn
+	upload upload
 
 	mu      sync.Mutex
 	writes  int64
 	blocked bool
 }
 
+func newConn(c net.Conn) *conn { return &conn{Conn: c} }
+
 // Write implements net.Conn. It counts the write before it starts, because a failed write may have sent some bytes.
 func (c *conn) Write(b []byte) (int, error) {
 	c.mu.Lock()
@@ -87,13 +89,8 @@
 func (t *Trace) Context(ctx context.Context) context.Context {
 	ctx = context.WithValue(ctx, traceKey{}, t)
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
-		raw := i.Conn
-		encrypted, isTLS := raw.(*tls.Conn)
-		if isTLS {
-			raw = encrypted.NetConn()
-		}
-		c, ok := raw.(*conn)
-		if !ok {
+		c, isTLS := baseConn(i.Conn)
+		if c == nil {
 			return
 		}
 		t.mu.Lock()
