Size lanes by the demand at all routers, and place by the memory of engines

Each router sized the lanes by its own sample, so that most engines were in both lanes of some router. Routers now exchange their demand with their loads. A short stream goes to the less busy of two engines of its lane, since the time to its first token says little of how busy an engine is. Requests are also placed by the tokens that an engine's running requests hold (EndpointLoad.held_tokens, KVCapacity), so that it does not preempt.

--- a/internal/member/loads/cells.go
+++ b/internal/member/loads/cells.go
@@ -71,27 +71,51 @@
 	}
 }
 
-// addRecent adds the reports that are at most maxReportAge old to l, except that of one router, and deletes older reports. It returns the
-// number of routers whose load it added.
-func (l loadByEndpoint) addRecent(from map[qm.InstanceID]report, now time.Time, except qm.InstanceID) int {
-	n := 0
+// sum is the load and the demand of a number of routers.
+type sum struct {
+	routers int
+	loads   loadByEndpoint
+	demands demandByGroup
+}
+
+func newSum() *sum { return &sum{loads: loadByEndpoint{}, demands: demandByGroup{}} }
+
+// scale returns the factor that turns the sum into that of a larger number of routers.
+func (s *sum) scale(routers int) float64 {
+	if s.routers == 0 {
+		return 0
+	}
+	return math.Max(1, float64(routers)/float64(s.routers))
+}
+
+// addOwn adds the load and the demand of the tracker's router. The caller holds its lock.
+func (s *sum) addOwn(t *Tracker, now time.Time) {
+	s.routers++
+	s.loads.add(t.own)
+	if t.opts.Demand != nil {
+		s.demands.add(t.opts.Demand(now), 1)
+	}
+}
+
+// addRecent adds the reports that are at most maxReportAge old, except that of one router, and deletes older reports.
+func (s *sum) addRecent(from map[qm.InstanceID]report, now time.Time, except qm.InstanceID) {
 	for id, r := range from {
 		if now.Sub(r.receivedAt) > maxReportAge {
 			delete(from, id)
 			continue
 		}
 		if id != except {
-			n += r.routers
-			l.add(r.loads)
+			s.routers += r.routers
+			s.loads.add(r.loads)
+			s.demands.add(r.demands, 1)
 		}
 	}
-	return n
 }
 
-// loadsExcept returns the load that a collector knows of other routers, except one member of its cell, and the number of those routers.
-// The caller holds mu.
-func (t *Tracker) loadsExcept(now time.Time, except qm.InstanceID) (loadByEndpoint, int) {
-	l := loadByEndpoint{}
-	n := l.addRecent(t.fromRouters, now, except) + l.addRecent(t.fromCells, now, "")
-	return l, n
+// loadsExcept returns the load that a collector knows of other routers, except one member of its cell. The caller holds mu.
+func (t *Tracker) loadsExcept(now time.Time, except qm.InstanceID) *sum {
+	s := newSum()
+	s.addRecent(t.fromRouters, now, except)
+	s.addRecent(t.fromCells, now, "")
+	return s
 }
--- a/internal/member/loads/loads.go
+++ b/internal/member/loads/loads.go
@@ -44,7 +44,10 @@
 	Self     qm.InstanceID
 	Exchange ExchangeFunc
 	Publish  PublishFunc
-	Interval time.Duration
+	// Demand returns the demand at this router, and PublishDemand receives the estimated one at all routers; nil for none.
+	Demand        func(now time.Time) map[qm.GroupID]qm.LaneDemand
+	PublishDemand func(map[qm.GroupID]qm.LaneDemand)
+	Interval      time.Duration
 	// MaxDirect is the number of routers, including this one, up to which they exchange loads directly; larger systems form cells. 0 means
 	// no limit.
 	MaxDirect int
@@ -58,19 +61,34 @@
 	requests, nonResumable int
 	// pendingTokens counts the prompt tokens that wait for prefill.
 	pendingTokens qm.Tokens
+	// heldTokens counts the tokens of KV cache that the requests need until they end.
+	heldTokens qm.Tokens
 }
 
 func (l load) plus(m load) load {
-	return load{l.requests + m.requests, l.nonResumable + m.nonResumable, l.pendingTokens + m.pendingTokens}
+	return load{l.requests + m.requests, l.nonResumable + m.nonResumable, l.pendingTokens + m.pendingTokens, l.heldTokens + m.heldTokens}
 }
 
-func (l load) negated() load { return load{-l.requests, -l.nonResumable, -l.pendingTokens} }
+func (l load) negated() load {
+	return load{-l.requests, -l.nonResumable, -l.pendingTokens, -l.heldTokens}
+}
 
 // report is the load of one or several routers as received from another router.
 type report struct {
 	receivedAt time.Time
 	routers    int
 	loads      loadByEndpoint
+	demands    demandByGroup
+}
+
+// demandByGroup is the demand for each group of engines.
+type demandByGroup map[qm.GroupID]qm.LaneDemand
+
+// add adds f times the demand in more to d.
+func (d demandByGroup) add(more demandByGroup, f float64) {
+	for g, m := range more {
+		d[g] = d[g].Plus(m, f)
+	}
 }
 
 // Tracker counts the load of this router and estimates that of all routers. It is safe for concurrent use.
@@ -115,7 +133,7 @@
 
 // begin counts a request that was sent to an endpoint.
 func (t *Tracker) begin(r *qm.PlaceRequest, id qm.EndpointID, pending qm.Tokens) {
-	l := load{requests: 1, pendingTokens: pending}
+	l := load{requests: 1, pendingTokens: pending, heldTokens: r.HeldTokens()}
 	if r.NonResumable {
 		l.nonResumable = 1
 	}
@@ -177,6 +195,9 @@
 	if ctx.Err() == nil {
 		loads, n := t.estimate(len(peers), time.Now())
 		t.opts.Publish(loads)
+		if t.opts.PublishDemand != nil {
+			t.opts.PublishDemand(t.estimateDemand(len(peers), time.Now()))
+		}
 		t.logAvailability(len(peers), n)
 	}
 }
@@ -239,29 +260,36 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	l, n := t.loadsExcept(time.Now(), qm.InstanceID(theirs.GetInstance()))
-	l.add(t.own)
-	return t.encode(peerpb.LoadScope_LOAD_SCOPE_MEMBER, l, n+1)
+	now := time.Now()
+	s := t.loadsExcept(now, qm.InstanceID(theirs.GetInstance()))
+	s.addOwn(t, now)
+	return t.encode(peerpb.LoadScope_LOAD_SCOPE_MEMBER, s)
 }
 
 // localShare returns the own load, or for LOAD_SCOPE_CELL that of the own cell.
 func (t *Tracker) localShare(scope peerpb.LoadScope) *peerpb.LoadShare {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	l, n := loadByEndpoint{}, 1
-	l.add(t.own)
+	now, s := time.Now(), newSum()
+	s.addOwn(t, now)
 	if scope == peerpb.LoadScope_LOAD_SCOPE_CELL {
-		n += l.addRecent(t.fromRouters, time.Now(), "")
+		s.addRecent(t.fromRouters, now, "")
 	}
-	return t.encode(scope, l, n)
+	return t.encode(scope, s)
 }
 
 // encode returns the message that holds the load of a number of routers.
-func (t *Tracker) encode(scope peerpb.LoadScope, l loadByEndpoint, routers int) *peerpb.LoadShare {
-	out := &peerpb.LoadShare{Instance: string(t.opts.Self), Scope: scope, Routers: int32(routers)}
-	for id, c := range l {
+func (t *Tracker) encode(scope peerpb.LoadScope, s *sum) *peerpb.LoadShare {
+	out := &peerpb.LoadShare{Instance: string(t.opts.Self), Scope: scope, Routers: int32(s.routers)}
+	for g, d := range s.demands {
+		out.Demands = append(out.Demands, &peerpb.GroupDemand{
+			Group: string(g), ShortRunning: d.ShortRunning, ShortPrefill: d.ShortPrefill, LongRunning: d.LongRunning, LongPrefill: d.LongPrefill,
+		})
+	}
+	for id, c := range s.loads {
 		out.Loads = append(out.Loads, &peerpb.EndpointLoad{
 			Endpoint: string(id), Requests: int32(c.requests), PendingTokens: int64(c.pendingTokens), Once: int32(c.nonResumable),
+			HeldTokens: int64(c.heldTokens),
 		})
 	}
 	return out
@@ -269,9 +297,14 @@
 
 // decode returns the report in a message.
 func decode(s *peerpb.LoadShare) report {
-	r := report{receivedAt: time.Now(), routers: max(1, int(s.GetRouters())), loads: make(loadByEndpoint, len(s.GetLoads()))}
+	r := report{receivedAt: time.Now(), routers: max(1, int(s.GetRouters())), loads: make(loadByEndpoint, len(s.GetLoads())), demands: demandByGroup{}}
 	for _, l := range s.GetLoads() {
-		r.loads[qm.EndpointID(l.GetEndpoint())] = load{int(l.GetRequests()), int(l.GetOnce()), qm.Tokens(l.GetPendingTokens())}
+		r.loads[qm.EndpointID(l.GetEndpoint())] = load{int(l.GetRequests()), int(l.GetOnce()), qm.Tokens(l.GetPendingTokens()), qm.Tokens(l.GetHeldTokens())}
+	}
+	for _, d := range s.GetDemands() {
+		r.demands[qm.GroupID(d.GetGroup())] = qm.LaneDemand{
+			ShortRunning: d.GetShortRunning(), ShortPrefill: d.GetShortPrefill(), LongRunning: d.GetLongRunning(), LongPrefill: d.GetLongPrefill(),
+		}
 	}
 	return r
 }
@@ -309,16 +342,13 @@
 func (t *Tracker) estimate(others int, now time.Time) (map[qm.EndpointID]qm.Load, int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	sums, n := t.otherLoads(others, now)
-	scale := 0.0
-	if n > 0 {
-		scale = math.Max(1, float64(others)/float64(n))
-	}
-	out := make(map[qm.EndpointID]qm.Load, len(sums)+len(t.own))
-	for e, s := range sums {
+	sums := t.otherLoads(others, now)
+	n, scale := sums.routers, sums.scale(others)
+	out := make(map[qm.EndpointID]qm.Load, len(sums.loads)+len(t.own))
+	for e, s := range sums.loads {
 		out[e] = qm.Load{
 			Running: int(math.Round(scale * float64(s.requests))), NonResumable: int(math.Ceil(scale * float64(s.nonResumable))),
-			QueuedTokens: qm.Tokens(scale * float64(s.pendingTokens)),
+			QueuedTokens: qm.Tokens(scale * float64(s.pendingTokens)), HeldTokens: qm.Tokens(scale * float64(s.heldTokens)),
 		}
 	}
 	for e, c := range t.own {
@@ -326,21 +356,40 @@
 		l.Running += c.requests
 		l.NonResumable += c.nonResumable
 		l.QueuedTokens += c.pendingTokens
+		l.HeldTokens += c.heldTokens
 		out[e] = l
 	}
 	return out, n
 }
 
-// otherLoads returns the load of the other routers with a recent report and the number of those routers. The caller holds mu.
-func (t *Tracker) otherLoads(others int, now time.Time) (loadByEndpoint, int) {
-	l := loadByEndpoint{}
-	switch {
-	case !t.usesCells(others):
-		return l, l.addRecent(t.fromRouters, now, "")
-	case !t.isCollector:
-		return l, l.addRecent(t.fromCollector, now, "")
+// estimateDemand returns the demand at all routers, given the number of routers other than this one. While it knows of no other, each is taken to
+// have the demand of this one.
+func (t *Tracker) estimateDemand(others int, now time.Time) map[qm.GroupID]qm.LaneDemand {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, own := t.otherLoads(others, now), newSum()
+	own.addOwn(t, now)
+	out := demandByGroup{}
+	out.add(own.demands, 1)
+	if s.routers == 0 {
+		out.add(own.demands, float64(others))
+	}
+	out.add(s.demands, s.scale(others))
+	return out
+}
+
+// otherLoads returns the load of the other routers with a recent report. The caller holds mu.
+func (t *Tracker) otherLoads(others int, now time.Time) *sum {
+	if t.usesCells(others) && t.isCollector {
+		return t.loadsExcept(now, "")
+	}
+	s := newSum()
+	if t.usesCells(others) {
+		s.addRecent(t.fromCollector, now, "")
+	} else {
+		s.addRecent(t.fromRouters, now, "")
 	}
-	return t.loadsExcept(now, "")
+	return s
 }
 
 // CountingPlacer is a placer whose dispatched requests a Tracker counts.
--- a/internal/route/exchg/engines.go
+++ b/internal/route/exchg/engines.go
@@ -16,9 +16,35 @@
 // selected. A response from older weights is worth less, but a late one is worth less still.
 const oldVersionPenalty = 0.2
 
-// placeEngine selects the engine with the lowest cost over all weights versions that may be used: the expected time to first token plus
-// penalties. It returns the placement, the engine's version, and false if no engine can take the request.
+// placeEngine places a request in its lane, or among the engines for overflow if its first token would be late in the lane and is expected
+// earlier there. It returns the placement, the engine's version, and false if no engine can take the request.
 func (t *task) placeEngine(q *qm.PlaceRequest, candidates []*qm.Endpoint, now time.Time, rnd *rand.Rand) (qm.Placement, qm.VersionID, bool) {
+	if t.runner.deps.Lanes == nil {
+		return t.placeVersions(q, candidates, now, rnd)
+	}
+	all, _ := t.runner.deps.Board.Endpoints.Load()
+	slots := 0
+	if routes, ok := t.runner.deps.Board.Routes.Load(); ok && routes.Groups[t.x.Group] != nil {
+		slots = routes.Groups[t.x.Group].Slots
+	}
+	c := t.runner.deps.Lanes.Choose(lane.Request{Group: t.x.Group, Route: t.x.Route.ID, PromptTokens: t.x.PromptTokens, Slots: slots}, all, candidates, now)
+	q.Lane = c.Lane
+	d, version, ok := t.placeVersions(q, c.Engines, now, rnd)
+	if ok && d.Endpoint.State == qm.Live && !c.IsLate(d.ExpectedTTFT, t.x.Route.LatencyObjective) || len(c.Overflow) == 0 {
+		return d, version, ok
+	}
+	spans := q.Spans
+	other, otherVersion, otherOK := t.placeVersions(q, c.Overflow, now, rnd)
+	if otherOK && (!ok || d.Endpoint.State != qm.Live && other.Endpoint.State == qm.Live || other.ExpectedTTFT < d.ExpectedTTFT) {
+		return other, otherVersion, true
+	}
+	q.Spans = spans
+	return d, version, ok
+}
+
+// placeVersions selects the engine with the lowest cost over all weights versions that may be used: the expected time to first token plus
+// penalties.
+func (t *task) placeVersions(q *qm.PlaceRequest, candidates []*qm.Endpoint, now time.Time, rnd *rand.Rand) (qm.Placement, qm.VersionID, bool) {
 	weights, _ := t.runner.deps.Board.Weights.Load()
 	desired := weights[t.x.Model]
 	candidates = t.runner.withRecentWeights(candidates, t.x.Model, desired, now)
@@ -31,7 +57,8 @@
 	}
 	for _, v := range usableVersions {
 		q.Spans = prefixSpans(t.x, v)
-		d, ok := t.placeInLane(q, withVersion(candidates, t.x.Model, v), now, rnd)
+		d, ok := t.runner.deps.Engines.Place(q, withVersion(candidates, t.x.Model, v), now, rnd)
+		q.PlacedBefore = true
 		if !ok || t.startsTooLate(v, desired, d, now) {
 			continue
 		}
@@ -50,34 +77,6 @@
 	return best, bestVersion, best.Endpoint != nil
 }
 
-// placeInLane places a request in its lane, or among the engines for overflow if its first token would be late in the lane and is expected
-// earlier there.
-func (t *task) placeInLane(q *qm.PlaceRequest, candidates []*qm.Endpoint, now time.Time, rnd *rand.Rand) (qm.Placement, bool) {
-	place := func(engines []*qm.Endpoint) (qm.Placement, bool) {
-		d, ok := t.runner.deps.Engines.Place(q, engines, now, rnd)
-		q.PlacedBefore = true
-		return d, ok
-	}
-	if t.runner.deps.Lanes == nil {
-		return place(candidates)
-	}
-	all, _ := t.runner.deps.Board.Endpoints.Load()
-	slots := 0
-	if routes, ok := t.runner.deps.Board.Routes.Load(); ok && routes.Groups[t.x.Group] != nil {
-		slots = routes.Groups[t.x.Group].Slots
-	}
-	c := t.runner.deps.Lanes.Choose(lane.Request{Group: t.x.Group, Route: t.x.Route.ID, PromptTokens: t.x.PromptTokens, Slots: slots}, all, candidates, now)
-	d, ok := place(c.Engines)
-	if ok && d.Endpoint.State == qm.Live && !c.IsLate(d.ExpectedTTFT, t.x.Route.LatencyObjective) || len(c.Overflow) == 0 {
-		return d, ok
-	}
-	other, otherOK := place(c.Overflow)
-	if otherOK && (!ok || d.Endpoint.State != qm.Live && other.Endpoint.State == qm.Live || other.ExpectedTTFT < d.ExpectedTTFT) {
-		return other, true
-	}
-	return d, ok
-}
-
 // startsTooLate reports whether a request that is sent to an engine with older weights may wait there until they may no longer be used.
 func (t *task) startsTooLate(v qm.VersionID, desired qm.DesiredWeights, d qm.Placement, now time.Time) bool {
 	if t.runner.deps.OldWeightsGrace <= 0 || v == desired.Version {
--- a/internal/route/exchg/exchg.go
+++ b/internal/route/exchg/exchg.go
@@ -160,6 +160,8 @@
 	started bool
 	// firstByte is the time from the receipt of the request to the first event or the complete response, 0 before.
 	firstByte time.Duration
+	// longestGap is the longest time between two events.
+	longestGap time.Duration
 	// next is the attempt that has taken over from the last one, nil if none has.
 	next *endpointRun
 
@@ -650,7 +652,11 @@
 			if err := t.writer.WriteEvents(raw, !hasNext); err != nil {
 				return errors.WithMessage(errCallerLeft, err.Error())
 			}
-			t.eventAt = time.Now()
+			if now := time.Now(); t.lastEvent != "" {
+				t.longestGap, t.eventAt = max(t.longestGap, now.Sub(t.eventAt)), now
+			} else {
+				t.eventAt = now
+			}
 			if id != "" {
 				t.lastEvent = id
 			}
@@ -716,15 +722,21 @@
 	candidates, pausedUntil := t.runner.usable(t.x, state.exclude, now)
 	placer := t.runner.deps.Services
 	q := &qm.PlaceRequest{
-		Team: t.x.Team, Model: t.x.Model, PromptTokens: t.x.PromptTokens, Exclude: state.exclude, NonResumable: !t.mayRepeat(),
+		Team: t.x.Team, Model: t.x.Model, PromptTokens: t.x.PromptTokens, OutputTokens: t.x.OutputTokens, Exclude: state.exclude,
+		NonResumable: !t.mayRepeat(),
 	}
 	attempt := qm.ExchangeAttempt{LastEventID: state.lastEvent, EndpointPriority: t.x.Priority, Conn: &qm.ConnUse{}}
 	var d qm.Placement
 	var ok bool
 	if t.x.Model != "" {
 		placer = t.runner.deps.Engines
-		if routes, ok := t.runner.deps.Board.Routes.Load(); ok && !t.runner.deps.CacheStoreUnavailable() {
-			q.CacheStore = routes.CacheStoreFor(t.runner.deps.DataCentre)
+		if routes, ok := t.runner.deps.Board.Routes.Load(); ok {
+			if g := routes.Groups[t.x.Group]; g != nil {
+				q.KVCapacity = g.KVCapacity
+			}
+			if !t.runner.deps.CacheStoreUnavailable() {
+				q.CacheStore = routes.CacheStoreFor(t.runner.deps.DataCentre)
+			}
 		}
 		d, attempt.Version, ok = t.placeEngine(q, candidates, now, rnd)
 	} else {
@@ -839,7 +851,7 @@
 	r.deps.Meter.Team(x.Team).Request(meter.Class(x.Route.ID), outcome, code, took)
 	keys := []any{
 		logs.RequestID, x.Request, logs.Team, x.Team, "Route", x.Route.ID, "Kind", x.Route.Kind, "Group", x.Group,
-		logs.Outcome, outcome, logs.Code, code, "TookMs", millis(took), "FirstMs", millis(t.firstByte), "LeftMs", millis(time.Until(x.CallerDeadline)),
+		logs.Outcome, outcome, logs.Code, code, "TookMs", millis(took), "FirstMs", millis(t.firstByte), "GapMs", millis(t.longestGap), "LeftMs", millis(time.Until(x.CallerDeadline)),
 		"Attempts", t.history,
 	}
 	if err != nil {
--- a/internal/route/lane/lane.go
+++ b/internal/route/lane/lane.go
@@ -6,8 +6,8 @@
 // help, since every engine then reads a long prompt now and then. The load that this answers is a mixture of routes whose prompts differ in
 // length by a large factor.
 //
-// Routers do not tell each other about lanes. Each derives the sizes from its own requests, and all order the engines in the same way, so
-// that routers with different samples disagree on a few engines at the boundary only.
+// Each router derives the sizes of the lanes from the demand at all routers, which they exchange with their loads, and all order the engines in
+// the same way. Routers whose sums are of different moments disagree on a few engines at the boundary only.
 package lane
 
 import (
@@ -25,10 +25,11 @@
 )
 
 const (
-	// sampleTime is the time constant with which requests count for the sizes. A router of a large system sees a few requests a second.
+	// sampleTime is the time constant with which requests count for the demand. A router of a large system sees a few requests a second.
 	sampleTime = 10 * time.Second
-	// minSamples is the number of recent requests from which on a router knows enough to use lanes.
-	minSamples = 20
+	// minSamples is the number of recent requests, and minSampled the time, from which on a router knows enough to use lanes.
+	minSamples = 8
+	minSampled = 2 * time.Second
 	// minRouteSamples is the decayed number of requests below which a route is forgotten.
 	minRouteSamples = 0.01
 	// minRatio is the ratio of the longest to the shortest mean prompt of a group's routes from which on they get lanes. Below it one route
@@ -37,26 +38,26 @@
 	// minEngines is the number of engines from which on a group has lanes. With fewer, the loss of two engines takes a large part of a lane.
 	minEngines = 24
 	// maxShortFraction bounds the short lane as a fraction of the engines, since the long lane holds most of the cached prefixes.
-	maxShortFraction = 1.0 / 3
-	// shortUtilisation is the part of the engines' time that short routes use in their lane: a stream rarely meets another prompt then, and the
-	// load can double within sampleTime.
-	shortUtilisation = 0.35
-	// maxShortUtilisation and maxLongUtilisation are the parts of the engines' time up to which the short lane yields to the long one.
-	maxShortUtilisation = 0.7
-	maxLongUtilisation  = 0.75
-	// sizeStep is the ratio of two successive sizes of the short lane. Sizes are rounded up to a step, and the engines of one further step are
-	// used by neither lane but for overflow, so that routers whose samples differ by a step don't mix the lanes.
-	sizeStep = 1.25
+	maxShortFraction = 0.4
+	// shortSlots and shortPrefill are the parts of the places and of the time for prompts that short routes use in their lane. Streams rarely
+	// meet another prompt then, and the load can nearly double within sampleTime.
+	shortSlots   = 0.4
+	shortPrefill = 0.2
+	// maxLongPrefill is the part of the time for prompts in the long lane from which on the short lane yields engines, until its own parts
+	// are tighteningFactor times as high.
+	maxLongPrefill   = 0.75
+	tighteningFactor = 2
+	// sizeStep is the ratio of two successive sizes of the short lane. Sizes are rounded up to a step, so that routers whose sums differ a little
+	// have the same lanes.
+	sizeStep = 1.2
+	// keepStep is the part of a step by which the demand must change for another size, so that sizes don't alternate.
+	keepStep = 0.3
 	// orderTime is the time after which the order of the engines is computed again.
 	orderTime = 100 * time.Millisecond
-	// lateFraction is the part of a route's latency objective above which an expected first token makes a request overflow.
-	lateFraction = 0.5
 )
 
 // Options are the settings of Lanes.
 type Options struct {
-	// Routers returns the number of routers that share the traffic.
-	Routers func() int
 	// OnResize is called when the size of a short lane changes; nil for nothing. 0 means no lanes.
 	OnResize func(group qm.GroupID, size int)
 	Log      logr.Logger
@@ -68,6 +69,8 @@
 
 	mu     sync.Mutex
 	groups map[qm.GroupID]*group
+	// total is the demand at all routers.
+	total map[qm.GroupID]qm.LaneDemand
 }
 
 // New returns Lanes without samples, which separate nothing yet.
@@ -85,21 +88,38 @@
 
 // route holds decayed sums over the recent requests of one route.
 type route struct {
-	at time.Time
-	// requests counts the requests, promptTokens their tokens; prefill is the time to read their prompts and running the time for which they
-	// ran, in seconds.
-	requests, promptTokens, prefill, running float64
+	since, at time.Time
+	// requests counts the requests, promptTokens their tokens; prefill is the time to read their prompts, in seconds.
+	requests, promptTokens, prefill float64
+	// ended counts the requests that have ended, running is the time for which they ran, in seconds.
+	ended, running float64
 }
 
 // decay ages the sums to now.
 func (r *route) decay(now time.Time) {
 	if d := now.Sub(r.at); d > 0 {
 		f := math.Exp(-d.Seconds() / sampleTime.Seconds())
-		r.requests, r.promptTokens, r.prefill, r.running = r.requests*f, r.promptTokens*f, r.prefill*f, r.running*f
+		r.requests, r.promptTokens, r.prefill = r.requests*f, r.promptTokens*f, r.prefill*f
+		r.ended, r.running = r.ended*f, r.running*f
 		r.at = now
 	}
 }
 
+// sampled returns the time over which the sums count, which is shorter than sampleTime after the first request.
+func (r *route) sampled() float64 {
+	return sampleTime.Seconds() * (1 - math.Exp(-r.at.Sub(r.since).Seconds()/sampleTime.Seconds()))
+}
+
+// perSecond returns the rate of the route's requests, the time that reading their prompts takes each second, and the mean number that run.
+func (r *route) perSecond() (requests, prefill, running float64) {
+	d := math.Max(r.sampled(), minSampled.Seconds())
+	requests, prefill = r.requests/d, r.prefill/d
+	if r.ended > 0 {
+		running = requests * r.running / r.ended
+	}
+	return requests, prefill, running
+}
+
 func (l *Lanes) group(id qm.GroupID) *group {
 	g := l.groups[id]
 	if g == nil {
@@ -112,7 +132,7 @@
 func (g *group) route(id qm.RouteID, now time.Time) *route {
 	r := g.routes[id]
 	if r == nil {
-		r = &route{at: now}
+		r = &route{since: now, at: now}
 		g.routes[id] = r
 	}
 	r.decay(now)
@@ -133,19 +153,22 @@
 func (l *Lanes) RecordEnd(groupID qm.GroupID, id qm.RouteID, running time.Duration, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.group(groupID).route(id, now).running += running.Seconds()
+	r := l.group(groupID).route(id, now)
+	r.ended++
+	r.running += running.Seconds()
 }
 
 // Choice is the lane of a request.
 type Choice struct {
-	// Engines are the candidates in the lane, Overflow those that are used if the first token would be late in the lane. Overflow is nil if
-	// the candidates are not separated.
+	// Engines are the candidates in the lane, Overflow those that are used if the first token would be late in the lane. Long prompts have no
+	// overflow: at the engines of the short lane each of them would delay many streams.
 	Engines, Overflow []*qm.Endpoint
+	Lane              qm.Lane
 }
 
 // IsLate reports whether a request with the given latency objective overflows if its first token is expected after ttft.
 func (c Choice) IsLate(ttft, objective time.Duration) bool {
-	return len(c.Overflow) > 0 && objective > 0 && ttft > time.Duration(lateFraction*float64(objective))
+	return len(c.Overflow) > 0 && objective > 0 && ttft > objective
 }
 
 // Request describes a request to Choose.
@@ -169,15 +192,17 @@
 	if g.size == 0 {
 		return Choice{Engines: candidates}
 	}
-	var c Choice
 	isLong := g.isLong(r.Route, r.PromptTokens, now)
-	start := int(math.Ceil(float64(g.size) * sizeStep))
+	c := Choice{Lane: qm.LaneShort}
+	if isLong {
+		c.Lane = qm.LaneLong
+	}
 	for _, e := range candidates {
 		rank, known := g.ranks[e.ID]
-		switch {
-		case isLong && (!known || rank >= start), !isLong && known && rank < g.size:
+		switch inShort := known && rank < g.size; {
+		case isLong != inShort:
 			c.Engines = append(c.Engines, e)
-		case !isLong, rank >= g.size:
+		case !isLong:
 			c.Overflow = append(c.Overflow, e)
 		}
 	}
@@ -216,7 +241,10 @@
 
 // resize computes the size of the short lane.
 func (l *Lanes) resize(id qm.GroupID, g *group, slots int, now time.Time) {
-	size := shortLane(g.demand(l.opts.Routers(), slots, now), len(g.ranks))
+	size := 0
+	if _, ok := g.threshold(now); ok {
+		size = shortLane(l.total[id], slots, len(g.ranks), g.size)
+	}
 	if size == g.size {
 		return
 	}
@@ -227,48 +255,51 @@
 	}
 }
 
-// demand is the time of engines that the routes of a group need, in engines.
-type demand struct {
-	short, long float64
-	// separable reports whether enough is known and the prompts of the routes differ enough.
-	separable bool
+// SetDemand sets the demand at all routers.
+func (l *Lanes) SetDemand(total map[qm.GroupID]qm.LaneDemand) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.total = total
 }
 
-// demand returns the demand at all routers, of which this one sees an equal part.
-func (g *group) demand(routers, slots int, now time.Time) demand {
-	threshold, ok := g.threshold(now)
-	if !ok {
-		return demand{}
-	}
-	d := demand{separable: true}
-	scale := float64(max(1, routers)) / sampleTime.Seconds()
-	for _, r := range g.routes {
-		need := r.prefill
-		if slots > 0 {
-			need += r.running / float64(slots)
+// Demand returns the demand at this router for the groups whose routes differ enough.
+func (l *Lanes) Demand(now time.Time) map[qm.GroupID]qm.LaneDemand {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := map[qm.GroupID]qm.LaneDemand{}
+	for id, g := range l.groups {
+		threshold, ok := g.threshold(now)
+		if !ok {
+			continue
 		}
-		if r.requests > 0 && r.promptTokens/r.requests >= threshold {
-			d.long += need * scale
-		} else {
-			d.short += need * scale
+		var d qm.LaneDemand
+		for _, r := range g.routes {
+			_, prefill, running := r.perSecond()
+			m := qm.LaneDemand{ShortRunning: running, ShortPrefill: prefill}
+			if r.requests > 0 && r.promptTokens/r.requests >= threshold {
+				m = qm.LaneDemand{LongRunning: running, LongPrefill: prefill}
+			}
+			d = d.Plus(m, 1)
 		}
+		out[id] = d
 	}
-	return d
+	return out
 }
 
 // threshold returns the mean length of the prompts from which on a route is long, and false if the routes are not to be separated.
 func (g *group) threshold(now time.Time) (float64, bool) {
-	shortest, longest, samples := math.Inf(1), 0.0, 0.0
+	shortest, longest, samples, sampled := math.Inf(1), 0.0, 0.0, 0.0
 	for _, r := range g.routes {
 		r.decay(now)
 		samples += r.requests
+		sampled = math.Max(sampled, r.sampled())
 		if r.requests < 1 {
 			continue
 		}
 		mean := r.promptTokens / r.requests
 		shortest, longest = math.Min(shortest, mean), math.Max(longest, mean)
 	}
-	if samples < minSamples || longest < minRatio*shortest {
+	if samples < minSamples || sampled < minSampled.Seconds()*(1-minSampled.Seconds()/sampleTime.Seconds()) || longest < minRatio*shortest {
 		return 0, false
 	}
 	return math.Sqrt(shortest * longest), true
@@ -286,18 +317,28 @@
 	return float64(prompt) >= threshold
 }
 
-// shortLane returns the number of engines of the short lane out of n, 0 for no lanes.
-func shortLane(d demand, n int) int {
-	if !d.separable || n < minEngines {
+// shortLane returns the number of engines of the short lane out of n, 0 for no lanes. slots is the number of requests that an engine runs at
+// once, 0 if not known, and current the present size.
+func shortLane(d qm.LaneDemand, slots, n, current int) int {
+	if n < minEngines || d.ShortPrefill <= 0 {
 		return 0
 	}
-	want := d.short / shortUtilisation
-	// Under high load both lanes get tighter; the short one first, down to maxShortUtilisation.
-	want = math.Max(math.Min(want, float64(n)-d.long/maxLongUtilisation), d.short/maxShortUtilisation)
+	want := d.ShortPrefill / shortPrefill
+	if slots > 0 {
+		want = math.Max(want, d.ShortRunning/(shortSlots*float64(slots)))
+	}
+	want = math.Max(math.Min(want, float64(n)-d.LongPrefill/maxLongPrefill), want/tighteningFactor)
 	most := int(maxShortFraction * float64(n))
-	size := 2.0
+	lower, size := 0.0, 2.0
 	for size < want {
-		size *= sizeStep
+		lower, size = size, size*sizeStep
+	}
+	next := min(int(math.Ceil(size)), most)
+	switch tolerance := keepStep * (size - lower); {
+	case next > current && current > 0 && want < lower+tolerance && int(math.Ceil(lower)) == current:
+		return current
+	case next < current && want > size-tolerance && min(int(math.Ceil(size*sizeStep)), most) == current:
+		return current
 	}
-	return min(int(math.Ceil(size)), most)
+	return next
 }
--- a/internal/route/place/backlog.go
+++ b/internal/route/place/backlog.go
@@ -28,13 +28,19 @@
 // The fields are the weighted sums of the regression, where x is a reported and y an observed backlog, in tokens.
 type backlogModel struct {
 	n, x, y, xx, xy float64
+	// maxSlope bounds the slope.
+	maxSlope float64
 	// learnedAt is when the last sample was added.
 	learnedAt sketch.Tick
 }
 
+// maxLaneSlope is the maximum slope within a lane. There the reported tokens understate the backlog, since more of the prompts than expected is
+// not cached: small caches keep a prefix for seconds only.
+const maxLaneSlope = 4
+
 func newBacklogModel() backlogModel {
 	v := priorSamples * priorSpread * priorSpread
-	return backlogModel{n: priorSamples, xx: v, xy: priorSlope * v}
+	return backlogModel{n: priorSamples, xx: v, xy: priorSlope * v, maxSlope: 1}
 }
 
 // observe adds a sample: a reported backlog and the actual one, in tokens.
@@ -51,7 +57,7 @@
 func (m *backlogModel) coefficients(now sketch.Tick) (base, slope float64) {
 	mx, my := m.x/m.n, m.y/m.n
 	if v := m.xx/m.n - mx*mx; v > 0 {
-		slope = math.Max(0, math.Min(1, (m.xy/m.n-mx*my)/v))
+		slope = math.Max(0, math.Min(m.maxSlope, (m.xy/m.n-mx*my)/v))
 	}
 	quiet := float64(now-min(now, m.learnedAt)) * sketch.TickTime.Seconds()
 	return (my - slope*mx) * math.Exp(-quiet/baseTimeConstant), slope
--- a/internal/route/place/learn.go
+++ b/internal/route/place/learn.go
@@ -47,7 +47,7 @@
 		return
 	}
 	uncached, took := float64(r.PromptTokens-cached), now.Sub(disp.started).Seconds()
-	p.backlog.observe(disp.otherBacklog, took/e.prefillCost-uncached-disp.ownBacklog, p.fleet.tick(now))
+	p.backlogOf(r).observe(disp.otherBacklog, took/e.prefillCost-uncached-disp.ownBacklog, p.fleet.tick(now))
 	// A long queue says more about the quality of the load report than about the cost.
 	if ahead := disp.ownBacklog + disp.otherBacklog; uncached >= minSampleTokens && uncached >= ahead {
 		e.prefillCost += prefillCostWeight * (took/(uncached+ahead) - e.prefillCost)
--- a/internal/route/place/place.go
+++ b/internal/route/place/place.go
@@ -90,7 +90,9 @@
 	// decisionID numbers the decisions. The hit of an engine is valid only if its decisionID is the same.
 	decisionID uint32
 	homes      homes
-	backlog    backlogModel
+	// backlog is the model of the backlog that requests meet, laneBacklogs those of the lanes, where they are separated.
+	backlog      backlogModel
+	laneBacklogs map[qm.Lane]*backlogModel
 	// backlogBase and backlogSlope are the coefficients that turn a reported backlog into the expected one.
 	backlogBase, backlogSlope float64
 	// times is the expected time to first token at each engine in the list, in seconds, or +Inf if the engine may not
@@ -108,6 +110,7 @@
 	return &Expected{
 		opt: opt, fleet: newFleet(), table: sketch.New(opt.TableSize),
 		hot: sketch.NewHeavyHitters(opt.HotCounters, opt.HotHalfLife), backlog: newBacklogModel(),
+		laneBacklogs: map[qm.Lane]*backlogModel{},
 	}
 }
 
@@ -384,7 +387,7 @@
 	if p.assumesHomeHits(r) {
 		penalty = assumedHitsPenalty
 	}
-	p.backlogBase, p.backlogSlope = p.backlog.coefficients(now)
+	p.backlogBase, p.backlogSlope = p.backlogOf(r).coefficients(now)
 	for i := range engines {
 		e := p.fleet.engineAt(i)
 		if p.times[i] != 0 {
@@ -397,11 +400,19 @@
 		p.times[i] = p.expectedTTFT(r, e)
 		p.scores[i] = p.times[i] + penalty*p.uncachedTokens(r, e)*e.prefillCost
 	}
+	p.excludeFull(r)
+	if r.Lane == qm.LaneShort && p.scorePair(r) {
+		return p.bestScore()
+	}
 	p.findHomes(r, group, n, coverage)
 	p.assumeHomeHit(r)
 	p.homes.waivePenalty(p.scores, p.times)
 	p.addRecomputeCost(r)
 	p.sampleCandidates(n, rnd)
+	return p.bestScore()
+}
+
+func (p *Expected) bestScore() float64 {
 	best := math.Inf(1)
 	for _, s := range p.scores {
 		best = math.Min(best, s)
@@ -457,6 +468,19 @@
 	}
 }
 
+// backlogOf returns the model of the backlog that a request meets.
+func (p *Expected) backlogOf(r *qm.PlaceRequest) *backlogModel {
+	if r.Lane == qm.LaneNone {
+		return &p.backlog
+	}
+	if p.laneBacklogs[r.Lane] == nil {
+		m := newBacklogModel()
+		m.maxSlope = maxLaneSlope
+		p.laneBacklogs[r.Lane] = &m
+	}
+	return p.laneBacklogs[r.Lane]
+}
+
 // coverage returns the part of the caches of the usable engines that events cover, from 0 to 1.
 func (p *Expected) coverage(now sketch.Tick) float64 {
 	seen, n := 0.0, 0.0
@@ -499,7 +523,7 @@
 	if over := e.load() + 1 - e.slots; over > 0 && e.slots > 0 {
 		wait = float64(over) * e.serviceTime / float64(e.slots)
 	}
-	return tokens*e.prefillCost + wait
+	return tokens*e.prefillCost + math.Max(wait, roomWait(r, e))
 }
 
 // uncachedTokens returns the number of tokens that the engine is expected to prefill.
--- a/ports.go
+++ b/ports.go
@@ -43,6 +43,16 @@
 	End Tokens
 }
 
+// Lane is a part of a group's engines; see internal/route/lane.
+type Lane int
+
+// Lanes. LaneNone is the whole group where its engines are not separated.
+const (
+	LaneNone Lane = iota
+	LaneShort
+	LaneLong
+)
+
 // PlaceRequest describes a request to a Placer.
 type PlaceRequest struct {
 	Team  TeamID
@@ -50,6 +60,12 @@
 	// Spans are the cacheable prefixes of the prompt, shortest first.
 	Spans        []PrefixSpan
 	PromptTokens Tokens
+	// OutputTokens is the number of tokens that the request is expected to generate at most, 0 if not known.
+	OutputTokens Tokens
+	// Lane is the lane of the engines among which the request is placed.
+	Lane Lane
+	// KVCapacity is the size of an engine's KV cache, 0 if not known.
+	KVCapacity Tokens
 	// Exclude lists the endpoints that already rejected or failed this request.
 	Exclude []EndpointID
 	// NonResumable reports whether the request can't be continued at another endpoint.
@@ -60,6 +76,10 @@
 	CacheStore *Endpoint
 }
 
+// HeldTokens returns the tokens of KV cache that an engine needs for the request until it ends. Cached parts of the prompt count, since they
+// can't be evicted while the request runs.
+func (r *PlaceRequest) HeldTokens() Tokens { return r.PromptTokens + r.OutputTokens }
+
 // Placement is the endpoint that a Placer chose, with the estimates that led to it.
 type Placement struct {
 	Endpoint    *Endpoint
@@ -90,6 +110,19 @@
 	Finished(r *PlaceRequest, d Placement, now time.Time)
 }
 
+// LaneDemand is what routes with short and with long prompts need of a group of engines, at one or several routers.
+type LaneDemand struct {
+	// ShortRunning and LongRunning are mean numbers of running requests.
+	ShortRunning, LongRunning float64
+	// ShortPrefill and LongPrefill are the numbers of engines that reading prompts keeps busy.
+	ShortPrefill, LongPrefill float64
+}
+
+// Plus returns the sum of d and f times m.
+func (d LaneDemand) Plus(m LaneDemand, f float64) LaneDemand {
+	return LaneDemand{d.ShortRunning + f*m.ShortRunning, d.LongRunning + f*m.LongRunning, d.ShortPrefill + f*m.ShortPrefill, d.LongPrefill + f*m.LongPrefill}
+}
+
 // CacheEvent is one event of an engine's prefix cache.
 type CacheEvent struct {
 	Seq int64
--- a/views.go
+++ b/views.go
@@ -79,6 +79,8 @@
 	NonResumable int `json:"Once"`
 	// QueuedTokens is the number of prompt tokens that wait for prefill.
 	QueuedTokens Tokens
+	// HeldTokens is the number of tokens of KV cache that the running requests need until they end, 0 if not known.
+	HeldTokens Tokens `json:",omitempty"`
 	// CapacityBlocks, UsedBlocks and EvictedBlocks are numbers of prefix cache blocks. EvictedBlocks is a monotonic counter.
 	CapacityBlocks, UsedBlocks, EvictedBlocks int64
 }
