Enforce quotas of teams over all routers

The team's home grants the units of each request as a whole (share.AdmitQuota), by the peers' Borrow call; the rest is refused with 429 and the time until the units are expected. Units of a request that is not run go back.

--- a/config.go
+++ b/config.go
@@ -26,6 +26,39 @@
 	Concurrency           int
 	QueueLength           int
 	MaxPromptTokens       Tokens
+	// Quota is enforced besides the limits a minute.
+	Quota Quota `json:",omitzero"`
+}
+
+// QuotaUnit is what a quota counts.
+type QuotaUnit string
+
+// Units of quotas.
+const (
+	QuotaRequests QuotaUnit = "Requests"
+	QuotaTokens   QuotaUnit = "Tokens"
+)
+
+// Quota is a rate a second with a burst, summed over all instances. A rate of 0 means no quota.
+type Quota struct {
+	PerSecond, Burst float64
+	Unit             QuotaUnit
+	// PlainTokens is the number of tokens that a request without token counts is charged.
+	PlainTokens Tokens
+}
+
+// IsLimited reports whether there is a quota.
+func (q Quota) IsLimited() bool { return q.PerSecond > 0 }
+
+// Charge returns the units that a request is charged. tokens is the sum of its prompt and the most that it may generate, 0 if it states neither.
+func (q Quota) Charge(tokens Tokens) float64 {
+	switch {
+	case q.Unit != QuotaTokens:
+		return 1
+	case tokens > 0:
+		return float64(tokens)
+	}
+	return float64(q.PlainTokens)
 }
 
 // Team is a tenant. It is the unit of limits, API keys and fair scheduling by Weight.
--- a/internal/entry/opaque/opaque.go
+++ b/internal/entry/opaque/opaque.go
@@ -56,6 +56,9 @@
 	Board  *board.Board
 	Codec  Codec
 	Runner Runner
+	// Admit charges an exchange against the limits of its team. The error is an *quetzalmount.Error with outcome OutcomeNotRun. refund is called if
+	// the exchange is not run after all. nil means that teams have no limits.
+	Admit func(ctx context.Context, x *qm.Exchange, routes *qm.Routes) (refund func(), err error)
 	// StopTime returns the time by which this router stops, false if it is not stopping.
 	StopTime func() (time.Time, bool)
 	// Memory limits the bodies of all requests together; nil for no limit.
@@ -112,8 +115,16 @@
 	if h.deps.Stopping != nil {
 		defer context.AfterFunc(h.deps.Stopping, func() { cancel(exchg.ErrStopping) })()
 	}
+	refund, err := h.admit(ctx, x, routes)
+	if err != nil {
+		h.refuse(w, r, qm.AsError(err), false)
+		return
+	}
 	rw := &responseWriter{handler: h, inner: w, control: http.NewResponseController(w), callerDeadline: x.CallerDeadline}
 	err = h.deps.Runner.Run(ctx, x, rw)
+	if err != nil && qm.AsError(err).Outcome == qm.OutcomeNotRun {
+		refund()
+	}
 	switch {
 	case err == nil:
 	case rw.started || errors.Is(err, exchg.ErrIncomplete):
@@ -126,6 +137,14 @@
 	}
 }
 
+// admit charges an exchange against the limits of its team.
+func (h *Handler) admit(ctx context.Context, x *qm.Exchange, routes *qm.Routes) (refund func(), err error) {
+	if h.deps.Admit == nil {
+		return func() {}, nil
+	}
+	return h.deps.Admit(ctx, x, routes)
+}
+
 // noTableRetryAfter is the Retry-After of a router without a configuration. It has just started and gets one with its next request to
 // the log or to a peer.
 const noTableRetryAfter = 500 * time.Millisecond
--- a/internal/limit/bucket/bucket.go
+++ b/internal/limit/bucket/bucket.go
@@ -53,6 +53,12 @@
 	return true
 }
 
+// Charge removes n tokens although there may be fewer. The bucket then holds a negative number until it is refilled.
+func (b *Bucket) Charge(now time.Duration, n float64) {
+	b.advance(now)
+	b.level -= n
+}
+
 // Refund returns n tokens to the bucket; those above the burst are lost.
 func (b *Bucket) Refund(now time.Duration, n float64) {
 	b.advance(now)
--- a/internal/limit/share/borrow.go
+++ b/internal/limit/share/borrow.go
@@ -260,7 +260,7 @@
 		}
 		return
 	}
-	for d := range dimNames {
+	for d := range tm.dims {
 		if dimNames[d] != want.GetDimension() {
 			continue
 		}
--- a/internal/limit/share/lend.go
+++ b/internal/limit/share/lend.go
@@ -15,28 +15,28 @@
 // Lend answers a borrow request of another instance. It grants 0 units for teams whose home this instance is not. The error
 // is twirp.Unavailable if this instance has no table yet.
 func (l *Limiter) Lend(_ context.Context, request *peerpb.BorrowRequest) (*peerpb.BorrowResponse, error) {
-	cfg, ok := l.opts.Board.Table.Load()
-	if !ok {
+	if _, ok := l.opts.Team(""); !ok {
 		return nil, twirp.Unavailable.Error("borrow: this router has no table yet")
 	}
 	for _, i := range request.GetReturns() {
-		l.handleItem(cfg, qm.InstanceID(request.GetInstance()), i, true)
+		l.handleItem(qm.InstanceID(request.GetInstance()), i, true)
 	}
 	response := &peerpb.BorrowResponse{LeaseMs: qm.LeaseTime.Milliseconds()}
 	for _, i := range request.GetWants() {
-		n := l.handleItem(cfg, qm.InstanceID(request.GetInstance()), i, false)
-		response.Granted = append(response.Granted, &peerpb.BorrowItem{Units: n})
+		n, retry := l.handleItem(qm.InstanceID(request.GetInstance()), i, false)
+		response.Granted = append(response.Granted, &peerpb.BorrowItem{Units: n, RetryMs: retry.Milliseconds()})
 	}
 	return response, nil
 }
 
-// handleItem lends or takes back one item and returns the units lent.
-func (l *Limiter) handleItem(cfg *qm.Config, to qm.InstanceID, item *peerpb.BorrowItem, isReturn bool) float64 {
+// handleItem lends or takes back one item. It returns the units lent, and for units of a quota that were not lent the time until they are
+// expected.
+func (l *Limiter) handleItem(to qm.InstanceID, item *peerpb.BorrowItem, isReturn bool) (float64, time.Duration) {
 	id, now := qm.TeamID(item.GetTeam()), l.now()
-	tc := cfg.Teams[id]
+	tc, _ := l.opts.Team(id)
 	// A comparison with NaN is false, so that a NaN in a malformed message never enters the sums.
 	if tc == nil || !(item.GetUnits() >= 0) || !(item.GetInUse() >= 0) {
-		return 0
+		return 0, 0
 	}
 	s := l.shard(id)
 	s.mu.Lock()
@@ -49,13 +49,16 @@
 		r = l.views.role(id, l.opts.Self)
 	}
 	if !r.self || l.paused(now) {
-		return 0
+		return 0, maxDetectionTime
 	}
-	p := splitLimits(tc.Limits, l.floorInstances(), l.opts.FloorFraction)
+	p := splitWithQuota(tc.Limits, l.floorInstances(), l.opts.FloorFraction, l.opts.QuotaTolerance)
 	l.lender.mu.Lock()
 	defer l.lender.mu.Unlock()
 	a := l.lender.accountFor(id, &p, r.since, now, inUse)
-	return a.apply(&p, l.opts.Self, to, item, isReturn, now >= r.since+qm.LeaseTime, now)
+	if d := slices.Index(dimNames[:], item.GetDimension()); d >= numRateDims {
+		return a.applyQuota(d, &p, item.GetUnits(), isReturn, r.since, now)
+	}
+	return a.apply(&p, l.opts.Self, to, item, isReturn, now >= r.since+qm.LeaseTime, now), 0
 }
 
 // apply lends or takes back one item and returns the units lent. The caller has refreshed the account.
--- a/internal/limit/share/lender.go
+++ b/internal/limit/share/lender.go
@@ -18,7 +18,7 @@
 
 // account is the leasable part of one team's limits.
 type account struct {
-	pools [numRateDims]pool
+	pools [numPools]pool
 	// slotLeases are the concurrency slots lent to other instances; ownSlots is the number that this instance uses above
 	// its floor.
 	slotLeases map[qm.InstanceID]slotLease
@@ -31,6 +31,11 @@
 type pool struct {
 	bucket bucket.Bucket
 	loans  []lentLoan
+	// granted is the number of units of a quota that were granted and may still be returned.
+	granted float64
+	// denied counts the units of a quota that were denied lately, as of deniedAt.
+	denied   float64
+	deniedAt time.Duration
 }
 
 // lentLoan is a number of units that another instance may spend until they expire. The home does not know how many of
@@ -55,7 +60,7 @@
 		// The account is new, or another instance was home since its last access and used the refill of that time.
 		a = &account{slotLeases: map[qm.InstanceID]slotLease{}}
 		for d, q := range p.dims {
-			flowed := math.Max(0, (now-since-qm.LeaseTime).Seconds()) * q.homeRate
+			flowed := math.Max(0, (now-since-leaseOf(d)).Seconds()) * q.homeRate
 			a.pools[d].bucket = bucket.New(now, q.homeRate, q.homeBurst, flowed)
 		}
 		l.accounts[team] = a
@@ -63,9 +68,9 @@
 	a.lastAccess = now
 	a.ownSlots = max(0, inUse-p.floorSlots)
 	a.refresh(p, now)
-	if now < since+qm.LeaseTime {
-		// Loans of an earlier home may still be spent, so that the buckets must not fill yet.
-		for d := range a.pools {
+	for d := range a.pools {
+		if now < since+leaseOf(d) {
+			// Loans of an earlier home may still be spent, so that the bucket must not fill yet.
 			a.pools[d].bucket.Clear(now)
 		}
 	}
--- a/internal/limit/share/limiter.go
+++ b/internal/limit/share/limiter.go
@@ -33,6 +33,8 @@
 
 	homesMu sync.Mutex
 	homes   map[qm.InstanceID]*homeState
+
+	quotas quotaQueue
 }
 
 var _ qm.Limiter = (*Limiter)(nil)
@@ -54,12 +56,22 @@
 	if o.EntrySlots <= 0 {
 		o.EntrySlots = DefaultEntrySlots
 	}
+	if o.Team == nil {
+		o.Team = func(id qm.TeamID) (*qm.Team, bool) {
+			cfg, ok := o.Board.Table.Load()
+			if !ok {
+				return nil, false
+			}
+			return cfg.Teams[id], true
+		}
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	l := &Limiter{
 		opts: o, start: time.Now(), cancel: cancel, wakeup: make(chan struct{}, 1),
 		lender:      lender{accounts: map[qm.TeamID]*account{}},
 		homes:       map[qm.InstanceID]*homeState{},
 		idleRefresh: rate.NewLimiter(rate.Limit(o.IdleRefreshPerSecond), idleRefreshBurst),
+		quotas:      newQuotaQueue(),
 	}
 	for i := range l.shards {
 		l.shards[i].teams = map[qm.TeamID]*team{}
@@ -120,7 +132,10 @@
 		case <-t.C:
 			l.recordTick()
 			l.borrow(ctx, true)
+			l.requestQuotas(ctx)
 			l.lender.evictIdle(l.now())
+		case <-l.quotas.wakeup:
+			l.requestQuotas(ctx)
 		case <-l.wakeup:
 			time.Sleep(batchDelay)
 			l.borrow(ctx, false)
--- a/internal/limit/share/options.go
+++ b/internal/limit/share/options.go
@@ -76,6 +76,11 @@
 	Incarnation qm.Incarnation
 	// Borrow sends a borrow request to another instance.
 	Borrow func(context.Context, qm.Member, *peerpb.BorrowRequest) (*peerpb.BorrowResponse, error)
+	// Team returns the limits of a team, nil if it has none, and false if this instance has no configuration yet; nil means the table on the
+	// board.
+	Team func(qm.TeamID) (*qm.Team, bool)
+	// QuotaTolerance is what quotas may be exceeded by.
+	QuotaTolerance QuotaTolerance
 	// FloorFraction is the fraction of a limit that is divided into floors.
 	FloorFraction float64
 	// EntrySlots is the minimum number of instances for which floors are reserved.
--- a/internal/limit/share/split.go
+++ b/internal/limit/share/split.go
@@ -14,11 +14,18 @@
 	numRateDims
 )
 
+// Dimensions of a quota, as indexes. They follow the rate dimensions, and their units are not borrowed in advance; see AdmitQuota.
+const (
+	dimQuotaRequests = numRateDims + iota
+	dimQuotaTokens
+	numPools
+)
+
 // concurrency is the name of the fourth dimension in messages.
 const concurrency = "Concurrency"
 
 // dimNames are the names of the rate dimensions in messages.
-var dimNames = [numRateDims]string{"Requests", "PromptTokens", "OutputTokens"}
+var dimNames = [numPools]string{"Requests", "PromptTokens", "OutputTokens", "QuotaRequests", "QuotaTokens"}
 
 // burstFraction is the fraction of the leasable amount that may be admitted at once; the rest is added over the minute. A
 // larger fraction lowers the sustained rate and admits larger requests. The burst for prompts is raised to
@@ -40,7 +47,7 @@
 
 // split is the division of all dimensions of a team's limits.
 type split struct {
-	dims                  [numRateDims]rateSplit
+	dims                  [numPools]rateSplit
 	concurrencyLimited    bool
 	floorSlots, homeSlots int
 }
@@ -48,6 +55,11 @@
 // splitLimits divides limits into floors for a number of instances and a leasable rest. fraction is the part of each limit
 // that goes to all floors together.
 func splitLimits(l qm.Limits, instances int, fraction float64) split {
+	return splitWithQuota(l, instances, fraction, QuotaTolerance{})
+}
+
+// splitWithQuota is like splitLimits, with a tolerance for the quota.
+func splitWithQuota(l qm.Limits, instances int, fraction float64, tolerance QuotaTolerance) split {
 	var p split
 	n := float64(instances)
 	for d, limit := range [numRateDims]float64{l.RequestsPerMinute, l.PromptTokensPerMinute, l.OutputTokensPerMinute} {
@@ -68,6 +80,9 @@
 		}
 		q.homeRate, q.homeBurst = bucketParams(d, limit-floor*n, largest, burstFraction[d])
 	}
+	if l.Quota.IsLimited() {
+		p.dims[quotaDim(l.Quota)] = tolerance.split(l.Quota)
+	}
 	if l.Concurrency > 0 {
 		p.concurrencyLimited = true
 		p.floorSlots = int(float64(l.Concurrency) * fraction / n)
--- a/internal/limit/share/team.go
+++ b/internal/limit/share/team.go
@@ -61,7 +61,7 @@
 	}
 	tm.limits, tm.instances = limits, instances
 	tm.split = splitLimits(limits, instances, fraction)
-	for d, p := range tm.split.dims {
+	for d, p := range tm.split.dims[:numRateDims] {
 		b := &tm.dims[d].floor
 		if fresh {
 			// The level is that of a bucket that was created empty at the start of the process.
--- a/route.go
+++ b/route.go
@@ -82,6 +82,8 @@
 	// TeamsByKey maps an API key to its team. A nil map means that no keys are required.
 	TeamsByKey    map[string]*RouteTeam
 	RequestLimits RequestLimits
+	// Teams holds the teams with limits, by ID.
+	Teams map[TeamID]*Team `json:",omitempty"`
 	// SharingScope identifies the set of teams that share cache entries. It is empty if no team is isolated.
 	SharingScope string
 }
