--- /dev/null
+++ b/internal/entry/conns/conns.go
@@ -0,0 +1,334 @@
+// Package conns bounds what the connections of clients make a process hold: their number, and the memory of request heads.
+//
+// It applies when clients don't keep to the limits that they are told: they open connections without end, or send heads of thousands of fields, or
+// never end a head. net/http keeps several times the size of such a head in memory until it is complete, for any number of connections. When a bound
+// is reached, a connection that is idle or has sent no whole request is closed, so that clients which send requests get answers; see Victim.
+package conns
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+)
+
+const (
+	// byteCost and lineCost are the bytes of memory that a byte and a line of a head take until its request has ended: they are buffered, retained and
+	// parsed into strings and a map.
+	byteCost = 3
+	lineCost = 48
+	// ConnCost is the memory of a connection without a request: the stack of its goroutine, two buffers and what net/http keeps.
+	ConnCost = 24 << 10
+	// maxHeadFactor and minHeadMargin give the size of a head at which its connection is closed, from the largest that is accepted. Heads up to that
+	// size are read and get a response that says what is wrong.
+	maxHeadFactor = 2
+	minHeadMargin = 8 << 10
+	// refuseTimeout is the time for writing the response to a head that is too large.
+	refuseTimeout = 100 * time.Millisecond
+)
+
+// Options are the settings of a Table.
+type Options struct {
+	// HeadMemory is the memory in bytes that the heads of all requests may take, 0 for no bound.
+	HeadMemory int64
+	// MaxHeadBytes returns the size of the largest head that is accepted, 0 if it is not known yet; nil means the same.
+	MaxHeadBytes func() int
+	// Scope receives metrics; nil discards them. The zero Log discards lines.
+	Scope tally.Scope
+	Log   logr.Logger
+}
+
+// Table holds the connections of all listeners of a process. It is safe for concurrent use.
+type Table struct {
+	opts Options
+
+	mu sync.Mutex
+	// conns holds the connections by listener.
+	conns map[*listener]map[*conn]bool
+	// headMemory is what the heads take now.
+	headMemory int64
+}
+
+// New returns a table without connections.
+func New(opts Options) *Table {
+	if opts.MaxHeadBytes == nil {
+		opts.MaxHeadBytes = func() int { return 0 }
+	}
+	if opts.Scope == nil {
+		opts.Scope = tally.NoopScope
+	}
+	return &Table{opts: opts, conns: map[*listener]map[*conn]bool{}}
+}
+
+// Wrap returns a listener whose connections are bounded. name is that of the listener in logs and metrics, max the largest number of connections, 0
+// for no bound. isTLS reports whether TLS is spoken above the listener.
+func (t *Table) Wrap(l net.Listener, name string, max int, isTLS bool) net.Listener {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := &listener{Listener: l, table: t, name: name, max: max, isTLS: isTLS}
+	t.conns[out] = map[*conn]bool{}
+	return out
+}
+
+// Serve makes a server report the states of its connections to the table. Call it before the server is started.
+func (t *Table) Serve(s *http.Server) {
+	handler, connContext := s.Handler, s.ConnContext
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(contextKey{}).(*conn); ok {
+			c.setPhase(phaseServing)
+		}
+		handler.ServeHTTP(w, r)
+	})
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		if connContext != nil {
+			ctx = connContext(ctx, c)
+		}
+		if own := find(c); own != nil {
+			ctx = context.WithValue(ctx, contextKey{}, own)
+		}
+		return ctx
+	}
+	s.ConnState = func(c net.Conn, state http.ConnState) {
+		if own := find(c); own != nil && state == http.StateIdle {
+			own.setPhase(phaseIdle)
+		}
+	}
+}
+
+type contextKey struct{}
+
+// find returns the connection of a table below others that wrap it, nil if there is none.
+func find(c net.Conn) *conn {
+	for {
+		switch outer := c.(type) {
+		case *conn:
+			return outer
+		case *tls.Conn:
+			c = outer.NetConn()
+		case interface{ Unwrap() net.Conn }:
+			c = outer.Unwrap()
+		default:
+			return nil
+		}
+	}
+}
+
+// listener is a listener of a table.
+type listener struct {
+	net.Listener
+	table *Table
+	name  string
+	max   int
+	isTLS bool
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		raw, err := l.Listener.Accept()
+		if err != nil {
+			return nil, errors.WithStack(err)
+		}
+		c := &conn{Conn: raw, listener: l, phase: phaseNew, since: time.Now()}
+		if l.table.add(c) {
+			return c, nil
+		}
+		_ = raw.Close()
+	}
+}
+
+// add adds a connection, for which another one may be closed. It returns false if there is no room.
+func (t *Table) add(c *conn) bool {
+	l := c.listener
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if l.max > 0 && len(t.conns[l]) >= l.max && !t.closeOne(l, "Connections", nil) {
+		t.count(l, "Connections", "Refused")
+		return false
+	}
+	t.conns[l][c] = true
+	return true
+}
+
+// closeOne closes a connection to make room, of one listener or of all if l is nil. except is not closed. It returns false if all have requests in
+// progress. The caller holds mu.
+func (t *Table) closeOne(l *listener, bound string, except *conn) bool {
+	var candidates []State
+	var conns []*conn
+	for owner, all := range t.conns {
+		if l != nil && owner != l {
+			continue
+		}
+		for c := range all {
+			if c != except {
+				candidates, conns = append(candidates, c.state()), append(conns, c)
+			}
+		}
+	}
+	i, ok := Victim(candidates)
+	if !ok {
+		return false
+	}
+	c := conns[i]
+	t.count(c.listener, bound, "Closed")
+	t.opts.Log.V(1).Info("connection closed to make room", "Listener", c.listener.name, "Bound", bound, "Phase", c.phase, "HeadMemory", c.cost)
+	t.remove(c)
+	go func() { _ = c.Conn.Close() }()
+	return true
+}
+
+func (t *Table) count(l *listener, bound, result string) {
+	t.opts.Scope.Tagged(map[string]string{"listener": l.name, "bound": bound, "result": result}).Counter("connections_bounded").Inc(1)
+}
+
+// remove removes a connection and what its head takes. The caller holds mu.
+func (t *Table) remove(c *conn) {
+	if t.conns[c.listener][c] {
+		delete(t.conns[c.listener], c)
+		t.headMemory -= c.cost
+		c.cost = 0
+	}
+}
+
+// grow adds what a connection's head takes. It returns false if the connection is to be closed: heads take too much memory, and no other one is larger.
+func (t *Table) grow(c *conn, cost int64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.conns[c.listener][c] {
+		return false
+	}
+	c.cost += cost
+	t.headMemory += cost
+	for t.opts.HeadMemory > 0 && t.headMemory > t.opts.HeadMemory {
+		if largest := t.largestHead(); largest == nil || largest == c {
+			t.count(c.listener, "HeadMemory", "Closed")
+			t.remove(c)
+			return false
+		} else {
+			t.count(largest.listener, "HeadMemory", "Closed")
+			t.remove(largest)
+			go func() { _ = largest.Conn.Close() }()
+		}
+	}
+	return true
+}
+
+// largestHead returns the connection whose head takes the most memory, of those without a request in progress. The caller holds mu.
+func (t *Table) largestHead() *conn {
+	var largest *conn
+	for _, all := range t.conns {
+		for c := range all {
+			if c.phase != phaseServing && c.cost > 0 && (largest == nil || c.cost > largest.cost) {
+				largest = c
+			}
+		}
+	}
+	return largest
+}
+
+// conn is a connection of a table.
+type conn struct {
+	net.Conn
+	listener *listener
+
+	// The fields below are guarded by the table's lock.
+
+	phase phase
+	// since is when the phase began. cost is the memory that the head takes.
+	since time.Time
+	cost  int64
+	// headBytes is the number of bytes that were read since the last request ended.
+	headBytes int
+}
+
+// phase is what a connection is doing.
+type phase string
+
+const (
+	// phaseNew means that no whole request has come yet, phaseIdle that none is in progress, also while the head of the next one is being read.
+	phaseNew     phase = "New"
+	phaseIdle    phase = "Idle"
+	phaseServing phase = "Serving"
+)
+
+func (c *conn) setPhase(p phase) {
+	t := c.listener.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c.phase, c.since = p, time.Now()
+	if p == phaseIdle {
+		t.headMemory -= c.cost
+		c.cost, c.headBytes = 0, 0
+	}
+}
+
+// state returns the input of Victim. The caller holds the table's lock.
+func (c *conn) state() State {
+	return State{Serving: c.phase == phaseServing, IsNew: c.phase == phaseNew, HeadMemory: c.cost, Since: c.since}
+}
+
+// errHeadTooLarge and errNoRoom end connections that a table closes.
+var (
+	errHeadTooLarge = errors.New("the head of the request is too large")
+	errNoRoom       = errors.New("the heads of requests take too much memory")
+)
+
+// Read implements net.Conn. It counts what is read while no request is in progress as head.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	t := c.listener.table
+	t.mu.Lock()
+	isHead := c.phase != phaseServing
+	if isHead {
+		c.headBytes += n
+	}
+	tooLarge := isHead && c.headBytes > headLimit(t.opts.MaxHeadBytes())
+	t.mu.Unlock()
+	switch {
+	case !isHead || n == 0:
+		return n, err
+	case tooLarge:
+		t.mu.Lock()
+		t.count(c.listener, "HeadBytes", "Closed")
+		t.mu.Unlock()
+		c.refuse()
+		return 0, errHeadTooLarge
+	case !t.grow(c, int64(byteCost*n+lineCost*bytes.Count(p[:n], []byte{'\n'}))):
+		return 0, errNoRoom
+	}
+	return n, err
+}
+
+// headLimit returns the size of a head at which its connection is closed. accepted is the largest size that is accepted, 0 if it is not known.
+func headLimit(accepted int) int {
+	if accepted <= 0 {
+		accepted = http.DefaultMaxHeaderBytes
+	}
+	return max(maxHeadFactor*accepted, accepted+minHeadMargin)
+}
+
+// refuse writes the response to a head that is too large.
+func (c *conn) refuse() {
+	if c.listener.isTLS {
+		return
+	}
+	_ = c.SetWriteDeadline(time.Now().Add(refuseTimeout))
+	_, _ = io.WriteString(c.Conn, "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	t := c.listener.table
+	t.mu.Lock()
+	t.remove(c)
+	t.mu.Unlock()
+	return errors.WithStack(c.Conn.Close())
+}
--- /dev/null
+++ b/internal/entry/conns/conns_test.go
@@ -0,0 +1,135 @@
+package conns_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"quetzalmount.dev/quetzalmount/internal/entry/conns"
+)
+
+// ExampleVictim shows who is closed first.
+func ExampleVictim() {
+	at := time.Unix(0, 0)
+	states := []conns.State{
+		{Serving: true, Since: at},
+		{Since: at.Add(time.Second)},
+		{IsNew: true, Since: at.Add(3 * time.Second)},
+		{IsNew: true, HeadMemory: 700, Since: at.Add(2 * time.Second)},
+	}
+	for range 3 {
+		i, ok := conns.Victim(states)
+		fmt.Println(i, ok)
+		states[i].Serving = true
+	}
+	fmt.Println(conns.Victim(states))
+	// Output:
+	// 3 true
+	// 2 true
+	// 1 true
+	// -1 false
+}
+
+// start serves with a table on loopback and returns the address.
+func start(t *testing.T, opts conns.Options, most int, handler http.Handler) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	table := conns.New(opts)
+	s := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	table.Serve(s)
+	go func() { _ = s.Serve(table.Wrap(l, "test", most, false)) }()
+	t.Cleanup(func() { _ = s.Close() })
+	return l.Addr().String()
+}
+
+func dial(t *testing.T, address, text string) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+	return c, bufio.NewReader(c)
+}
+
+const request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+
+// expect reads a response with a status.
+func expect(t *testing.T, in *bufio.Reader, status int) {
+	t.Helper()
+	resp, err := http.ReadResponse(in, nil)
+	if err != nil || resp.StatusCode != status {
+		t.Fatalf("response %v, %v, want status %d", resp, err, status)
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+}
+
+// TestConnectionsInUse guards against a connection with a request in progress that is closed for a crowd, and against a crowd that keeps a new caller out.
+func TestConnectionsInUse(t *testing.T) {
+	release := make(chan struct{})
+	address := start(t, conns.Options{}, 4, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			<-release
+		}
+	}))
+	_, slow := dial(t, address, "GET /slow HTTP/1.1\r\nHost: x\r\n\r\n")
+	_, kept := dial(t, address, request)
+	expect(t, kept, 200)
+	for range 50 {
+		dial(t, address, "GET / HTTP/1.1\r\n")
+	}
+	_, in := dial(t, address, request)
+	expect(t, in, 200)
+	close(release)
+	expect(t, slow, 200)
+}
+
+// TestHeadMemory guards against heads that take more than they may together, and against an ordinary request that is refused because of them.
+func TestHeadMemory(t *testing.T) {
+	address := start(t, conns.Options{HeadMemory: 1 << 20, MaxHeadBytes: func() int { return 64 << 10 }}, 0,
+		http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	var crowd []net.Conn
+	for range 8 {
+		c, _ := dial(t, address, "GET / HTTP/1.1\r\n"+strings.Repeat("a:\r\n", 5000))
+		crowd = append(crowd, c)
+	}
+	_, in := dial(t, address, request)
+	expect(t, in, 200)
+	closed := 0
+	for _, c := range crowd {
+		_ = c.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+		if _, err := c.Read(make([]byte, 1)); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			closed++
+		}
+	}
+	if closed == 0 {
+		t.Error("no connection of eight heads of 300 KB was closed for a bound of 1 MB")
+	}
+}
+
+// TestHeadTooLarge guards against a head that is read on beyond twice what is accepted.
+func TestHeadTooLarge(t *testing.T) {
+	address := start(t, conns.Options{MaxHeadBytes: func() int { return 16 << 10 }}, 0, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	_, in := dial(t, address, "GET / HTTP/1.1\r\na: "+strings.Repeat("x", 33<<10))
+	resp, err := http.ReadResponse(in, nil)
+	if err == nil && resp.StatusCode != http.StatusRequestHeaderFieldsTooLarge {
+		t.Errorf("status %d, want 431 or a closed connection", resp.StatusCode)
+	}
+	_, in = dial(t, address, "GET / HTTP/1.1\r\nHost: x\r\na: "+strings.Repeat("x", 15<<10)+"\r\n\r\n")
+	expect(t, in, 200)
+}
--- a/internal/entry/server/listen.go
+++ b/internal/entry/server/listen.go
@@ -12,8 +12,8 @@
 
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
-	"golang.org/x/net/netutil"
 
+	"quetzalmount.dev/quetzalmount/internal/entry/conns"
 	"quetzalmount.dev/quetzalmount/internal/infra/certs"
 	"quetzalmount.dev/quetzalmount/internal/infra/conf"
 )
@@ -21,6 +21,9 @@
 // maxHeaderBytes limits the headers of a request. Callers send little more than a key and an ID.
 const maxHeaderBytes = 16 << 10
 
+// headMemory is the memory in bytes that the heads of requests to one listener may take. Those of callers take a few kilobytes each.
+const headMemory = 32 << 20
+
 // idleTimeout is the time after which a keep-alive connection without requests is closed.
 const idleTimeout = 2 * time.Minute
 
@@ -38,9 +41,8 @@
 	if err != nil {
 		return nil, errors.WithMessagef(err, "listen for %s", name)
 	}
-	if maxConns > 0 {
-		l = netutil.LimitListener(l, maxConns)
-	}
+	table := conns.New(conns.Options{HeadMemory: headMemory, MaxHeadBytes: func() int { return maxHeaderBytes }})
+	l = table.Wrap(l, name, maxConns, certFile != "")
 	if certFile != "" {
 		reloader, err := certs.New(certFile, keyFile)
 		if err != nil {
@@ -49,10 +51,12 @@
 		}
 		l = tls.NewListener(l, reloader.Config())
 	}
-	return &listener{name: name, netListener: l, server: &http.Server{
+	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: s.ReadHeaderTimeout, ReadTimeout: s.ReadBodyTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes,
-	}}, nil
+	}
+	table.Serve(server)
+	return &listener{name: name, netListener: l, server: server}, nil
 }
 
 // serve handles connections until the listener is shut down. It returns nil after a shutdown.
--- a/internal/entry/strict/strict.go
+++ b/internal/entry/strict/strict.go
@@ -44,6 +44,9 @@
 	chunked       bool
 }
 
+// Unwrap returns the connection of the other listener.
+func (c *conn) Unwrap() net.Conn { return c.Conn }
+
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
