--- a/internal/route/exchg/engines.go
+++ b/internal/route/exchg/engines.go
@@ -83,15 +83,19 @@
 		return false
 	}
 	grace := t.runner.deps.OldWeightsGrace
-	usual := min(t.x.Route.LatencyObjective, time.Duration(maxStartFraction*float64(grace)))
+	usual := min(slowEngineFactor*t.x.Route.LatencyObjective, time.Duration(maxStartFraction*float64(grace)))
 	start := now.Add(max(startMargin*d.ExpectedTTFT, startMargin*usual))
 	return qm.VersionNumber(v) < desired.MinUsableNumber(start, grace)
 }
 
-// startMargin multiplies the expected time to the first token, or the objective if that is longer, to give the time by which a request has
-// begun to run. An engine that is slower than expected still begins most requests within their objective.
+// startMargin multiplies the expected time to the first token, or the time that a slow engine takes if that is longer, to give the time by which a
+// request has begun to run.
 const startMargin = 2
 
+// slowEngineFactor times the objective is the time within which an engine that is slower than expected begins a request. Behind a burst, requests
+// that were expected at once began four objectives later.
+const slowEngineFactor = 3
+
 // maxStartFraction bounds the objective that startMargin multiplies, as a fraction of OldWeightsGrace. Otherwise a route with a long objective
 // could not use older weights at all.
 const maxStartFraction = 1.0 / 12
--- a/internal/route/exchg/exchg.go
+++ b/internal/route/exchg/exchg.go
@@ -765,7 +765,7 @@
 	}
 	placer.Dispatched(q, d, now)
 	if t.runner.deps.Lanes != nil && t.x.Model != "" {
-		t.runner.deps.Lanes.RecordStart(t.x.Group, t.x.Route.ID, t.x.PromptTokens, d.ExpectedTTFT-d.QueueDelay, now)
+		t.runner.deps.Lanes.RecordStart(t.x.Group, t.x.Route, t.x.PromptTokens, d.ExpectedTTFT-d.QueueDelay, now)
 	}
 	return &placedAttempt{
 		ended:  t.runner.pauseSent(d.Endpoint, now),
--- a/internal/route/lane/lane.go
+++ b/internal/route/lane/lane.go
@@ -35,6 +35,9 @@
 	// minRatio is the ratio of the longest to the shortest mean prompt of a group's routes from which on they get lanes. Below it one route
 	// delays the other little more than itself.
 	minRatio = 4
+	// minRankGap is the number of ranks by which the routes with long prompts must be less urgent than the others. Lanes take engines, and with them
+	// cached prefixes, from the long prompts, whose callers are served worse by it.
+	minRankGap = 2
 	// minEngines is the number of engines from which on a group has lanes. With fewer, the loss of two engines takes a large part of a lane.
 	minEngines = 24
 	// maxShortFraction bounds the short lane as a fraction of the engines, since the long lane holds most of the cached prefixes.
@@ -89,6 +92,8 @@
 // route holds decayed sums over the recent requests of one route.
 type route struct {
 	since, at time.Time
+	// rank is the priority of the route; 0 is the most urgent.
+	rank int
 	// requests counts the requests, promptTokens their tokens; prefill is the time to read their prompts, in seconds.
 	requests, promptTokens, prefill float64
 	// ended counts the requests that have ended, running is the time for which they ran, in seconds.
@@ -140,10 +145,11 @@
 }
 
 // RecordStart counts a request that was sent to an engine, and the time that the engine is expected to need for the prompt.
-func (l *Lanes) RecordStart(groupID qm.GroupID, id qm.RouteID, prompt qm.Tokens, prefill time.Duration, now time.Time) {
+func (l *Lanes) RecordStart(groupID qm.GroupID, route *qm.Route, prompt qm.Tokens, prefill time.Duration, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	r := l.group(groupID).route(id, now)
+	r := l.group(groupID).route(route.ID, now)
+	r.rank = route.Priority
 	r.requests++
 	r.promptTokens += float64(prompt)
 	r.prefill += prefill.Seconds()
@@ -302,7 +308,23 @@
 	if samples < minSamples || sampled < minSampled.Seconds()*(1-minSampled.Seconds()/sampleTime.Seconds()) || longest < minRatio*shortest {
 		return 0, false
 	}
-	return math.Sqrt(shortest * longest), true
+	limit := math.Sqrt(shortest * longest)
+	return limit, g.rankGap(limit) >= minRankGap
+}
+
+// rankGap returns the number of ranks by which the most urgent route with long prompts is less urgent than the least urgent one of the others.
+func (g *group) rankGap(limit float64) int {
+	long, short := math.MaxInt, 0
+	for _, r := range g.routes {
+		switch {
+		case r.requests < 1:
+		case r.promptTokens/r.requests >= limit:
+			long = min(long, r.rank)
+		default:
+			short = max(short, r.rank)
+		}
+	}
+	return long - short
 }
 
 // isLong reports whether a request belongs to the long lane: by the mean of its route, or by its own prompt if the route is new.
