Share the speed of engines among routers, and drop the placement by held tokens

A router of a large fleet sends an engine a prompt once in a minute and never learns how fast it is.

Placement by the tokens that running requests hold is taken out again: it counts a shared part once for each request, so that engines look full, and requests leave the homes of their prefixes.

--- a/internal/member/loads/loads.go
+++ b/internal/member/loads/loads.go
@@ -61,16 +61,14 @@
 	requests, nonResumable int
 	// pendingTokens counts the prompt tokens that wait for prefill.
 	pendingTokens qm.Tokens
-	// heldTokens counts the tokens of KV cache that the requests need until they end.
-	heldTokens qm.Tokens
 }
 
 func (l load) plus(m load) load {
-	return load{l.requests + m.requests, l.nonResumable + m.nonResumable, l.pendingTokens + m.pendingTokens, l.heldTokens + m.heldTokens}
+	return load{l.requests + m.requests, l.nonResumable + m.nonResumable, l.pendingTokens + m.pendingTokens}
 }
 
 func (l load) negated() load {
-	return load{-l.requests, -l.nonResumable, -l.pendingTokens, -l.heldTokens}
+	return load{-l.requests, -l.nonResumable, -l.pendingTokens}
 }
 
 // report is the load of one or several routers as received from another router.
@@ -104,6 +102,7 @@
 	// the last answer of this router's collector about all other routers. Each is keyed by the sender.
 	fromRouters, fromCells, fromCollector map[qm.InstanceID]report
 	isCollector                           bool
+	speeds                                *speeds
 	// othersKnown is set while the load of at least one other router is known; lastErr is the error of the last exchange that failed.
 	othersKnown bool
 	lastErr     error
@@ -117,6 +116,7 @@
 	t := &Tracker{
 		opts: opts, own: loadByEndpoint{}, active: make(map[*qm.PlaceRequest]activeRequest),
 		fromRouters: make(map[qm.InstanceID]report), fromCells: make(map[qm.InstanceID]report), fromCollector: make(map[qm.InstanceID]report),
+		speeds: newSpeeds(),
 	}
 	t.loop = period.New(ctx, opts.Interval, t.round)
 	return t
@@ -133,7 +133,7 @@
 
 // begin counts a request that was sent to an endpoint.
 func (t *Tracker) begin(r *qm.PlaceRequest, id qm.EndpointID, pending qm.Tokens) {
-	l := load{requests: 1, pendingTokens: pending, heldTokens: r.HeldTokens()}
+	l := load{requests: 1, pendingTokens: pending}
 	if r.NonResumable {
 		l.nonResumable = 1
 	}
@@ -176,6 +176,9 @@
 
 // round exchanges loads with other routers and publishes the estimate.
 func (t *Tracker) round(ctx context.Context) {
+	t.mu.Lock()
+	t.speeds.round++
+	t.mu.Unlock()
 	members, _ := t.opts.Board.Members.Load()
 	var live, peers qm.Members
 	for _, m := range members {
@@ -243,6 +246,12 @@
 func (t *Tracker) exchange(ctx context.Context, m qm.Member, own *peerpb.LoadShare) (*peerpb.LoadShare, error) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
+	t.mu.Lock()
+	if t.speeds.round%speedRounds == 0 {
+		own.WantsSpeeds = true
+		t.attachSpeeds(own, "")
+	}
+	t.mu.Unlock()
 	theirs, err := t.opts.Exchange(ctx, m, own)
 	if err != nil {
 		t.mu.Lock()
@@ -255,6 +264,17 @@
 // HandleExchange stores the loads that another router sent and returns the answer.
 func (t *Tracker) HandleExchange(theirs *peerpb.LoadShare) *peerpb.LoadShare {
 	t.store(theirs)
+	answer := t.answer(theirs)
+	if theirs.GetWantsSpeeds() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.attachSpeeds(answer, qm.InstanceID(theirs.GetInstance()))
+	}
+	return answer
+}
+
+// answer returns the answer to the loads of another router.
+func (t *Tracker) answer(theirs *peerpb.LoadShare) *peerpb.LoadShare {
 	if theirs.GetScope() != peerpb.LoadScope_LOAD_SCOPE_MEMBER {
 		return t.localShare(theirs.GetScope())
 	}
@@ -289,7 +309,6 @@
 	for id, c := range s.loads {
 		out.Loads = append(out.Loads, &peerpb.EndpointLoad{
 			Endpoint: string(id), Requests: int32(c.requests), PendingTokens: int64(c.pendingTokens), Once: int32(c.nonResumable),
-			HeldTokens: int64(c.heldTokens),
 		})
 	}
 	return out
@@ -299,7 +318,7 @@
 func decode(s *peerpb.LoadShare) report {
 	r := report{receivedAt: time.Now(), routers: max(1, int(s.GetRouters())), loads: make(loadByEndpoint, len(s.GetLoads())), demands: demandByGroup{}}
 	for _, l := range s.GetLoads() {
-		r.loads[qm.EndpointID(l.GetEndpoint())] = load{int(l.GetRequests()), int(l.GetOnce()), qm.Tokens(l.GetPendingTokens()), qm.Tokens(l.GetHeldTokens())}
+		r.loads[qm.EndpointID(l.GetEndpoint())] = load{int(l.GetRequests()), int(l.GetOnce()), qm.Tokens(l.GetPendingTokens())}
 	}
 	for _, d := range s.GetDemands() {
 		r.demands[qm.GroupID(d.GetGroup())] = qm.LaneDemand{
@@ -313,6 +332,7 @@
 func (t *Tracker) store(s *peerpb.LoadShare) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.speeds.store(s, false)
 	if id := qm.InstanceID(s.GetInstance()); s.GetScope() == peerpb.LoadScope_LOAD_SCOPE_CELL {
 		t.fromCells[id] = decode(s)
 	} else {
@@ -328,6 +348,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.speeds.store(s, true)
 	clear(t.fromCollector)
 	t.fromCollector[qm.InstanceID(s.GetInstance())] = decode(s)
 }
@@ -348,7 +369,7 @@
 	for e, s := range sums.loads {
 		out[e] = qm.Load{
 			Running: int(math.Round(scale * float64(s.requests))), NonResumable: int(math.Ceil(scale * float64(s.nonResumable))),
-			QueuedTokens: qm.Tokens(scale * float64(s.pendingTokens)), HeldTokens: qm.Tokens(scale * float64(s.heldTokens)),
+			QueuedTokens: qm.Tokens(scale * float64(s.pendingTokens)),
 		}
 	}
 	for e, c := range t.own {
@@ -356,7 +377,11 @@
 		l.Running += c.requests
 		l.NonResumable += c.nonResumable
 		l.QueuedTokens += c.pendingTokens
-		l.HeldTokens += c.heldTokens
+		out[e] = l
+	}
+	for e, slowness := range t.slowness(others, now) {
+		l := out[e]
+		l.Slowness = slowness
 		out[e] = l
 	}
 	return out, n
--- a/internal/route/exchg/exchg.go
+++ b/internal/route/exchg/exchg.go
@@ -722,21 +722,15 @@
 	candidates, pausedUntil := t.runner.usable(t.x, state.exclude, now)
 	placer := t.runner.deps.Services
 	q := &qm.PlaceRequest{
-		Team: t.x.Team, Model: t.x.Model, PromptTokens: t.x.PromptTokens, OutputTokens: t.x.OutputTokens, Exclude: state.exclude,
-		NonResumable: !t.mayRepeat(),
+		Team: t.x.Team, Model: t.x.Model, PromptTokens: t.x.PromptTokens, Exclude: state.exclude, NonResumable: !t.mayRepeat(),
 	}
 	attempt := qm.ExchangeAttempt{LastEventID: state.lastEvent, EndpointPriority: t.x.Priority, Conn: &qm.ConnUse{}}
 	var d qm.Placement
 	var ok bool
 	if t.x.Model != "" {
 		placer = t.runner.deps.Engines
-		if routes, ok := t.runner.deps.Board.Routes.Load(); ok {
-			if g := routes.Groups[t.x.Group]; g != nil {
-				q.KVCapacity = g.KVCapacity
-			}
-			if !t.runner.deps.CacheStoreUnavailable() {
-				q.CacheStore = routes.CacheStoreFor(t.runner.deps.DataCentre)
-			}
+		if routes, ok := t.runner.deps.Board.Routes.Load(); ok && !t.runner.deps.CacheStoreUnavailable() {
+			q.CacheStore = routes.CacheStoreFor(t.runner.deps.DataCentre)
 		}
 		d, attempt.Version, ok = t.placeEngine(q, candidates, now, rnd)
 	} else {
--- a/internal/route/place/fleet.go
+++ b/internal/route/place/fleet.go
@@ -62,11 +62,11 @@
 	pendingTokens, pendingAtReport float64
 	// queuedTokens is the reported backlog.
 	queuedTokens float64
-	// heldTokens counts the tokens of KV cache that this router's requests need, reportedHeld those of all routers by the report.
-	heldTokens, heldAtReport, reportedHeld float64
 	// prefillCost is the learned time to prefill one token, serviceTime the learned time that a request occupies a
 	// batch slot, both in seconds.
 	prefillCost, serviceTime float64
+	// slowness is the reported one, 0 for an engine like the others. prefillCost is without it.
+	slowness float64
 
 	// The remaining fields are scratch space of one decision: hit is the expected number of prompt tokens in the
 	// cache, hitConfidence the highest confidence in any of its table entries.
@@ -80,9 +80,12 @@
 	return max(e.running+e.waiting+e.inflight-e.inflightAtReport, e.inflight)
 }
 
-// held returns the tokens of KV cache that requests need at the engine, corrected as load is.
-func (e *engine) held() float64 {
-	return math.Max(e.reportedHeld+e.heldTokens-e.heldAtReport, e.heldTokens)
+// cost returns the time to prefill one token, in seconds.
+func (e *engine) cost() float64 {
+	if e.slowness > 0 {
+		return e.prefillCost * e.slowness
+	}
+	return e.prefillCost
 }
 
 // otherBacklog returns the reported backlog of other routers, in tokens.
@@ -109,7 +112,7 @@
 	e.reportedAt, e.evictedBlocks = ep.ReportedAt, l.EvictedBlocks
 	e.running, e.waiting, e.slots = l.Running, l.Waiting, l.Slots
 	e.queuedTokens, e.pendingAtReport, e.inflightAtReport = float64(l.QueuedTokens), e.pendingTokens, e.inflight
-	e.reportedHeld, e.heldAtReport = float64(l.HeldTokens), e.heldTokens
+	e.slowness = l.Slowness
 	e.usedBlocks, e.residence = l.UsedBlocks, maxResidence
 	if e.evictionRate > 0 {
 		e.residence = math.Min(maxResidence, float64(l.UsedBlocks)/e.evictionRate)
@@ -127,7 +130,6 @@
 	e.inflight, e.inflightAtReport, e.pendingTokens, e.pendingAtReport, e.queuedTokens = 0, 0, 0, 0, 0
 	e.running, e.waiting, e.lastEvent, e.lastSeq = 0, 0, 0, 0
 	e.storedBlocks, e.usedBlocks = 0, 0
-	e.heldTokens, e.heldAtReport, e.reportedHeld = 0, 0, 0
 }
 
 // dispatch is one request at one engine.
@@ -308,7 +310,6 @@
 	}
 	e.inflight++
 	e.pendingTokens += uncached
-	e.heldTokens += float64(r.HeldTokens())
 }
 
 // recordPrefill records a first token. It returns the dispatch as it was before, and its engine, nil if the request
@@ -338,7 +339,6 @@
 	}
 	e := &f.engines[disp.engine]
 	e.inflight--
-	e.heldTokens = math.Max(0, e.heldTokens-float64(r.HeldTokens()))
 	if !disp.prefilled {
 		e.pendingTokens = math.Max(0, e.pendingTokens-disp.uncached)
 	}
--- a/internal/route/place/hash.go
+++ b/internal/route/place/hash.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -42,6 +43,16 @@
 	return x ^ x>>32
 }
 
+// speedWeight adapts the weight of an engine, so that faster engines are the homes of more prefixes: in proportion to the square of their speed, since
+// a prompt takes less of their time and the prompts behind it wait for less. It is the same for an engine without a reported slowness.
+func speedWeight(weight uint64, slowness float64) uint64 {
+	if slowness <= 0 {
+		return weight
+	}
+	u := (float64(weight) + 0.5) / math.Exp2(64)
+	return uint64(math.Min(math.Pow(u, slowness*slowness)*math.Exp2(64), math.Exp2(64)-math.Exp2(11)))
+}
+
 // hash implements plain rendezvous hashing.
 type hash struct {
 	noFeedback
--- a/internal/route/place/learn.go
+++ b/internal/route/place/learn.go
@@ -47,10 +47,13 @@
 		return
 	}
 	uncached, took := float64(r.PromptTokens-cached), now.Sub(disp.started).Seconds()
-	p.backlogOf(r).observe(disp.otherBacklog, took/e.prefillCost-uncached-disp.ownBacklog, p.fleet.tick(now))
+	p.backlogOf(r).observe(disp.otherBacklog, took/e.cost()-uncached-disp.ownBacklog, p.fleet.tick(now))
 	// A long queue says more about the quality of the load report than about the cost.
 	if ahead := disp.ownBacklog + disp.otherBacklog; uncached >= minSampleTokens && uncached >= ahead {
-		e.prefillCost += prefillCostWeight * (took/(uncached+ahead) - e.prefillCost)
+		if p.opt.OnSpeed != nil {
+			p.opt.OnSpeed(d.Endpoint.ID, took/(uncached+ahead)/initialPrefillCost, now)
+		}
+		e.prefillCost += prefillCostWeight * (took/(uncached+ahead)*e.prefillCost/e.cost() - e.prefillCost)
 	}
 }
 
--- a/internal/route/place/place.go
+++ b/internal/route/place/place.go
@@ -64,6 +64,8 @@
 	// shared part, and names a likely holder as the source of a transfer if no engine is known to hold the whole
 	// shared part.
 	AssumeHomeHits bool
+	// OnSpeed receives, for a first token that waited behind little else, the time that it took as a multiple of the expected one; nil for nothing.
+	OnSpeed func(id qm.EndpointID, ratio float64, now time.Time)
 	// EventLag is the assumed delay of cache events.
 	EventLag time.Duration
 }
@@ -136,7 +138,7 @@
 	e := p.fleet.engineAt(at)
 	d := qm.Placement{
 		Endpoint: engines[at], Incarnation: engines[at].Incarnation, Reason: reason,
-		ExpectedTTFT: seconds(p.times[at]), QueueDelay: seconds(p.times[at] - p.uncachedTokens(r, e)*e.prefillCost),
+		ExpectedTTFT: seconds(p.times[at]), QueueDelay: seconds(p.times[at] - p.uncachedTokens(r, e)*e.cost()),
 	}
 	if e.decisionID == p.decisionID {
 		d.CachedTokens = qm.Tokens(e.hit)
@@ -361,7 +363,8 @@
 	p.homes.begin(want)
 	for at, t := range p.times {
 		if !math.IsInf(t, 1) {
-			p.homes.add(rendezvousWeight(key, p.fleet.engineAt(at).hash), at)
+			e := p.fleet.engineAt(at)
+			p.homes.add(speedWeight(rendezvousWeight(key, e.hash), e.slowness), at)
 		}
 	}
 }
@@ -398,9 +401,8 @@
 			continue
 		}
 		p.times[i] = p.expectedTTFT(r, e)
-		p.scores[i] = p.times[i] + penalty*p.uncachedTokens(r, e)*e.prefillCost
+		p.scores[i] = p.times[i] + penalty*p.uncachedTokens(r, e)*e.cost()
 	}
-	p.excludeFull(r)
 	if r.Lane == qm.LaneShort && p.scorePair(r) {
 		return p.bestScore()
 	}
@@ -504,7 +506,7 @@
 	}
 	for i, t := range p.times {
 		if e := p.fleet.engineAt(i); !math.IsInf(t, 1) && !p.homes.replicated(i) {
-			p.scores[i] += p.opt.RecomputePenalty * (p.uncachedTokens(r, e) - least) * e.prefillCost
+			p.scores[i] += p.opt.RecomputePenalty * (p.uncachedTokens(r, e) - least) * e.cost()
 		}
 	}
 }
@@ -523,7 +525,7 @@
 	if over := e.load() + 1 - e.slots; over > 0 && e.slots > 0 {
 		wait = float64(over) * e.serviceTime / float64(e.slots)
 	}
-	return tokens*e.prefillCost + math.Max(wait, roomWait(r, e))
+	return tokens*e.cost() + wait
 }
 
 // uncachedTokens returns the number of tokens that the engine is expected to prefill.
--- a/ports.go
+++ b/ports.go
@@ -60,12 +60,8 @@
 	// Spans are the cacheable prefixes of the prompt, shortest first.
 	Spans        []PrefixSpan
 	PromptTokens Tokens
-	// OutputTokens is the number of tokens that the request is expected to generate at most, 0 if not known.
-	OutputTokens Tokens
 	// Lane is the lane of the engines among which the request is placed.
 	Lane Lane
-	// KVCapacity is the size of an engine's KV cache, 0 if not known.
-	KVCapacity Tokens
 	// Exclude lists the endpoints that already rejected or failed this request.
 	Exclude []EndpointID
 	// NonResumable reports whether the request can't be continued at another endpoint.
@@ -76,10 +72,6 @@
 	CacheStore *Endpoint
 }
 
-// HeldTokens returns the tokens of KV cache that an engine needs for the request until it ends. Cached parts of the prompt count, since they
-// can't be evicted while the request runs.
-func (r *PlaceRequest) HeldTokens() Tokens { return r.PromptTokens + r.OutputTokens }
-
 // Placement is the endpoint that a Placer chose, with the estimates that led to it.
 type Placement struct {
 	Endpoint    *Endpoint
--- a/views.go
+++ b/views.go
@@ -79,8 +79,8 @@
 	NonResumable int `json:"Once"`
 	// QueuedTokens is the number of prompt tokens that wait for prefill.
 	QueuedTokens Tokens
-	// HeldTokens is the number of tokens of KV cache that the running requests need until they end, 0 if not known.
-	HeldTokens Tokens `json:",omitempty"`
+	// Slowness is how many times as long as the median engine this one takes, 0 if it takes as long or that is not known.
+	Slowness float64 `json:",omitempty"`
 	// CapacityBlocks, UsedBlocks and EvictedBlocks are numbers of prefix cache blocks. EvictedBlocks is a monotonic counter.
 	CapacityBlocks, UsedBlocks, EvictedBlocks int64
 }
