--- a/internal/limit/share/lender.go
+++ b/internal/limit/share/lender.go
@@ -31,6 +31,8 @@
 type pool struct {
 	bucket bucket.Bucket
 	loans  []lentLoan
+	// limited reports whether the dimension was limited at the last access.
+	limited bool
 	// granted is the number of units of a quota that were granted and may still be returned.
 	granted float64
 	// denied counts the units of a quota that were denied lately, as of deniedAt.
@@ -61,7 +63,7 @@
 		a = &account{slotLeases: map[qm.InstanceID]slotLease{}}
 		for d, q := range p.dims {
 			flowed := math.Max(0, (now-since-leaseOf(d)).Seconds()) * q.homeRate
-			a.pools[d].bucket = bucket.New(now, q.homeRate, q.homeBurst, flowed)
+			a.pools[d].bucket, a.pools[d].limited = bucket.New(now, q.homeRate, q.homeBurst, flowed), q.limited
 		}
 		l.accounts[team] = a
 	}
@@ -80,6 +82,11 @@
 // refresh drops expired loans and slots and applies the current limits.
 func (a *account) refresh(p *split, now time.Duration) {
 	for d := range a.pools {
+		if q := p.dims[d]; d >= numRateDims && q.limited && !a.pools[d].limited {
+			// The unit of the quota has changed, or it is new. Nothing of it is used.
+			a.pools[d].bucket = bucket.New(now, q.homeRate, q.homeBurst, q.homeBurst)
+		}
+		a.pools[d].limited = p.dims[d].limited
 		a.pools[d].refresh(p.dims[d], now)
 	}
 	for i, h := range a.slotLeases {
