--- a/internal/entry/conns/conns.go
+++ b/internal/entry/conns/conns.go
@@ -68,12 +68,12 @@
 	return &Table{opts: opts, conns: map[*listener]map[*conn]bool{}}
 }
 
-// Wrap returns a listener whose connections are bounded. name is that of the listener in logs and metrics, max the largest number of connections, 0
+// Wrap returns a listener whose connections are bounded. name is that of the listener in logs and metrics, most the largest number of connections, 0
 // for no bound. isTLS reports whether TLS is spoken above the listener.
-func (t *Table) Wrap(l net.Listener, name string, max int, isTLS bool) net.Listener {
+func (t *Table) Wrap(l net.Listener, name string, most int, isTLS bool) net.Listener {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := &listener{Listener: l, table: t, name: name, max: max, isTLS: isTLS}
+	out := &listener{Listener: l, table: t, name: name, most: most, isTLS: isTLS}
 	t.conns[out] = map[*conn]bool{}
 	return out
 }
@@ -126,7 +126,7 @@
 	net.Listener
 	table *Table
 	name  string
-	max   int
+	most  int
 	isTLS bool
 }
 
@@ -150,7 +150,7 @@
 	l := c.listener
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if l.max > 0 && len(t.conns[l]) >= l.max && !t.closeOne(l, "Connections", nil) {
+	if l.most > 0 && len(t.conns[l]) >= l.most && !t.closeOne(l, "Connections", nil) {
 		t.count(l, "Connections", "Refused")
 		return false
 	}
@@ -208,15 +208,16 @@
 	c.cost += cost
 	t.headMemory += cost
 	for t.opts.HeadMemory > 0 && t.headMemory > t.opts.HeadMemory {
-		if largest := t.largestHead(); largest == nil || largest == c {
-			t.count(c.listener, "HeadMemory", "Closed")
-			t.remove(c)
+		largest := t.largestHead()
+		if largest == nil {
+			largest = c
+		}
+		t.count(largest.listener, "HeadMemory", "Closed")
+		t.remove(largest)
+		if largest == c {
 			return false
-		} else {
-			t.count(largest.listener, "HeadMemory", "Closed")
-			t.remove(largest)
-			go func() { _ = largest.Conn.Close() }()
 		}
+		go func() { _ = largest.Conn.Close() }()
 	}
 	return true
 }
