--- a/internal/route/lane/lane.go
+++ b/internal/route/lane/lane.go
@@ -40,16 +40,12 @@
 	minRankGap = 2
 	// minEngines is the number of engines from which on a group has lanes. With fewer, the loss of two engines takes a large part of a lane.
 	minEngines = 24
-	// maxShortFraction bounds the short lane as a fraction of the engines, since the long lane holds most of the cached prefixes.
-	maxShortFraction = 0.4
+	// maxShortFraction bounds the short lane as a fraction of the engines, so that the routes with long prompts are never left without.
+	maxShortFraction = 0.5
 	// shortSlots and shortPrefill are the parts of the places and of the time for prompts that short routes use in their lane. Streams rarely
 	// meet another prompt then, and the load can nearly double within sampleTime.
 	shortSlots   = 0.4
 	shortPrefill = 0.2
-	// maxLongPrefill is the part of the time for prompts in the long lane from which on the short lane yields engines, until its own parts
-	// are tighteningFactor times as high.
-	maxLongPrefill   = 0.75
-	tighteningFactor = 2
 	// sizeStep is the ratio of two successive sizes of the short lane. Sizes are rounded up to a step, so that routers whose sums differ a little
 	// have the same lanes.
 	sizeStep = 1.2
@@ -339,7 +335,8 @@
 	return float64(prompt) >= threshold
 }
 
-// shortLane returns the number of engines of the short lane out of n, 0 for no lanes. slots is the number of requests that an engine runs at
+// shortLane returns the number of engines of the short lane out of n, 0 for no lanes. It doesn't depend on the demand of the long lane: its routes are less
+// urgent, so that they are refused first when there is too much of both. slots is the number of requests that an engine runs at
 // once, 0 if not known, and current the present size.
 func shortLane(d qm.LaneDemand, slots, n, current int) int {
 	if n < minEngines || d.ShortPrefill <= 0 {
@@ -349,7 +346,6 @@
 	if slots > 0 {
 		want = math.Max(want, d.ShortRunning/(shortSlots*float64(slots)))
 	}
-	want = math.Max(math.Min(want, float64(n)-d.LongPrefill/maxLongPrefill), want/tighteningFactor)
 	most := int(maxShortFraction * float64(n))
 	lower, size := 0.0, 2.0
 	for size < want {
