Keep the shared speeds in use once a fleet is uneven

The speeds were dropped whenever the slowest and the fastest engines differed by less than a factor of two, which fast engines reach as soon as they get more prompts; then all homes moved, and moved back. Twice as many samples are needed, and the bound has a lower end.

--- a/internal/member/loads/speeds.go
+++ b/internal/member/loads/speeds.go
@@ -17,15 +17,17 @@
 	speedRounds = 20
 	// maxSpeedAge is the age up to which the speeds that another router reported are used.
 	maxSpeedAge = 10 * time.Second
-	// minSpeedSamples is the number of first tokens from which on the speed of an endpoint is known: the error of its logarithm is a quarter then.
-	minSpeedSamples = 8
+	// minSpeedSamples is the number of first tokens from which on the speed of an endpoint is known: the error of its logarithm is a fifth then.
+	minSpeedSamples = 16
 	// speedStep is the ratio of two successive values of the slowness, and keepSpeedStep the part of a step that an endpoint must be off its last value
 	// for another one.
 	speedStep     = math.Sqrt2
 	keepSpeedStep = 0.75
 	// minSpread is the ratio of the slowness of the slowest endpoints to that of the fastest, without a tenth of each, from which on the differences are
-	// used. Below it they are hardly above the noise, and moving prefixes to other endpoints costs more than it gives.
-	minSpread = 2
+	// used. Below it they are hardly above the noise, and moving prefixes to other endpoints costs more than it gives. They are used until the ratio
+	// falls below keepSpread: fast endpoints get more prompts and take longer for it, and all prefixes would move to and fro.
+	minSpread  = 2
+	keepSpread = 1.25
 	// maxSpeedSteps bounds the slowness: an endpoint that is four times as slow as the others gets hardly anything.
 	maxSpeedSteps = 4
 )
@@ -49,9 +51,10 @@
 	ownAt time.Time
 	// fromRouters, fromCells and fromCollector are like those of Tracker.
 	fromRouters, fromCells, fromCollector map[qm.InstanceID]speedReport
-	// slowness holds the last values, in steps.
-	steps map[qm.EndpointID]int
-	round int
+	// steps holds the last values of the slowness, in steps. uneven is set while the endpoints are taken to differ.
+	steps  map[qm.EndpointID]int
+	uneven bool
+	round  int
 }
 
 type speedReport struct {
@@ -172,8 +175,12 @@
 		}
 	}
 	slices.Sort(means)
-	if n := len(means); n == 0 || means[n-1-n/10]-means[n/10] < math.Log(minSpread) {
-		// The endpoints are taken to be equal.
+	least := math.Log(minSpread)
+	if s.uneven {
+		least = math.Log(keepSpread)
+	}
+	n := len(means)
+	if s.uneven = n > 0 && means[n-1-n/10]-means[n/10] >= least; !s.uneven {
 		clear(s.steps)
 	} else {
 		median := means[n/2]
--- a/internal/member/loads/speeds_test.go
+++ b/internal/member/loads/speeds_test.go
@@ -56,7 +56,7 @@
 		for i := range slowness {
 			slowness[i] = []float64{1 / 0.6, 1, 1 / 1.6}[i%3]
 		}
-		collector, member := fleetSpeeds(t, slowness, 87, 60, 40*time.Second, 0.5)
+		collector, member := fleetSpeeds(t, slowness, 87, 100, 40*time.Second, 0.5)
 		wrong, different := 0, 0
 		for i := range slowness {
 			id := qm.EndpointID(fmt.Sprintf("e%03d", i))
