--- a/internal/limit/share/doc.go
+++ b/internal/limit/share/doc.go
@@ -42,6 +42,12 @@
 // others may be granted their slots: the excess is at most the leasable slots, for as long as those requests run. A new
 // home counts the running requests that instances report before it lends.
 //
+// # Quotas
+//
+// A quota is a rate a second with a burst, in requests or tokens (quetzalmount.Quota). It has no floors and no loans in advance: the home grants the
+// units of one request as a whole, or none; see AdmitQuota. In any window the requests of a team are charged at most rate x (window + quotaLease) +
+// burst, with the QuotaTolerance added, but for the rate of a second home while the views of the instances differ.
+//
 // # Cost of borrowing
 //
 // A request message with its answer takes 280 bytes with one item and 413 with four (TestBorrowBytes in member/peer), and
