--- a/internal/route/place/learn.go
+++ b/internal/route/place/learn.go
@@ -50,7 +50,8 @@
 	p.backlogOf(r).observe(disp.otherBacklog, took/e.cost()-uncached-disp.ownBacklog, p.fleet.tick(now))
 	// A long queue says more about the quality of the load report than about the cost.
 	if ahead := disp.ownBacklog + disp.otherBacklog; uncached >= minSampleTokens && uncached >= ahead {
-		if p.opt.OnSpeed != nil {
+		// Engines of different lanes are under different load, which would look like another speed.
+		if p.opt.OnSpeed != nil && r.Lane == qm.LaneNone {
 			p.opt.OnSpeed(d.Endpoint.ID, took/(uncached+ahead)/initialPrefillCost, now)
 		}
 		e.prefillCost += prefillCostWeight * (took/(uncached+ahead)*e.prefillCost/e.cost() - e.prefillCost)
