Forget the slowness of an engine that gets hardly anything

An engine that was slow kept its slowness for as long as it got too little to be measured, which the slowness itself sees to.

--- a/internal/member/loads/speeds.go
+++ b/internal/member/loads/speeds.go
@@ -19,6 +19,9 @@
 	maxSpeedAge = 10 * time.Second
 	// minSpeedSamples is the number of first tokens from which on the speed of an endpoint is known: the error of its logarithm is a fifth then.
 	minSpeedSamples = 16
+	// keepSpeedSamples is the number below which an endpoint counts as one like the others again: one that was slow gets little, and would not be
+	// measured any more.
+	keepSpeedSamples = 4
 	// speedStep is the ratio of two successive values of the slowness, and keepSpeedStep the part of a step that an endpoint must be off its last value
 	// for another one.
 	speedStep     = math.Sqrt2
@@ -185,6 +188,9 @@
 	} else {
 		median := means[n/2]
 		for id, m := range sums {
+			if m.samples < keepSpeedSamples {
+				s.steps[id] = 0
+			}
 			if m.samples < minSpeedSamples {
 				continue
 			}
--- a/internal/member/loads/speeds_test.go
+++ b/internal/member/loads/speeds_test.go
@@ -101,6 +101,10 @@
 	if got := s.update(sums)["slow"]; got < 2.5 || got > 5 {
 		t.Errorf("slowness %v of an engine that takes 3.5 times as long", got)
 	}
+	sums["slow"] = speedSum{2, 2 * math.Log(3.5)}
+	if got, ok := s.update(sums)["slow"]; ok {
+		t.Errorf("slowness %v of an engine to which hardly anything has been sent lately", got)
+	}
 	sums["slow"], sums["slow too"] = speedSum{20, 0}, speedSum{20, 0}
 	if got := s.update(sums); len(got) != 0 {
 		t.Errorf("slowness %v after the engine has recovered", got)
