--- a/review/standins-2/engine.go
+++ b/review/standins-2/engine.go
@@ -25,6 +25,7 @@
 // plain is a process of a plain service.
 type plain struct {
 	id, service, zone, address string
+	server                     *http.Server
 	slots                      chan struct{}
 	work                       time.Duration
 	// lose returns whether the answer of a request that was run is lost by a reset.
@@ -44,7 +45,7 @@
 		id: id, service: service, zone: zone, slots: make(chan struct{}, slots), work: work, born: time.Now().UnixMilli(),
 		lose: func() bool { return false }, onArrival: func(arrival) {},
 	}
-	p.address = serve(p)
+	p.address, p.server = serve(p)
 	return p
 }
 
--- a/review/standins-2/fleet.go
+++ b/review/standins-2/fleet.go
@@ -64,14 +64,15 @@
 	}
 }
 
-// serve serves a handler on a new loopback address.
-func serve(h http.Handler) (address string) {
+// serve serves a handler on a new loopback address until the returned server is closed.
+func serve(h http.Handler) (address string, s *http.Server) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		panic(err)
 	}
-	go func() { _ = (&http.Server{Handler: h}).Serve(l) }()
-	return l.Addr().String()
+	s = &http.Server{Handler: h}
+	go func() { _ = s.Serve(l) }()
+	return l.Addr().String(), s
 }
 
 // router is a router process.
@@ -112,7 +113,7 @@
 		return nil, err
 	}
 	f := &fleet{dir: dir, store: newStore(), values: defaultValues()}
-	f.address = serve(f.store)
+	f.address, _ = serve(f.store)
 	ended := make(chan os.Signal, 1)
 	signal.Notify(ended, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
--- a/review/standins-2/model.go
+++ b/review/standins-2/model.go
@@ -31,7 +31,7 @@
 		id: id, service: service, zone: zone, name: name, slots: slots, first: first, gap: gap, state: "ready", born: time.Now().UnixMilli(), weights: 1,
 		onArrival: func(arrival) {},
 	}
-	m.address = serve(m)
+	m.address, _ = serve(m)
 	return m
 }
 
