--- a/review/standins-2/drain.go
+++ b/review/standins-2/drain.go
@@ -115,17 +115,19 @@
 	wg.Wait()
 	mu.Lock()
 	defer mu.Unlock()
+	rec.sayf("statuses %v; orders that ran at %s when it ended and are lost: %d", statuses, leaving.id, statuses[http.StatusBadGateway])
+	return countLate(rec, arrivals, leaving.id, leavingAt, drainTime) > 0, nil
+}
+
+// countLate returns the number of requests that reached an engine later than drainTime after it reported that it is draining.
+func countLate(rec *recorder, arrivals []arrival, engine string, reportedAt time.Time, drainTime time.Duration) int {
 	late := 0
-	byEngine := map[string]int{}
 	for _, a := range arrivals {
-		byEngine[a.engine]++
-		if after := a.at.Sub(leavingAt); a.engine == leaving.id && after > drainTime {
+		if after := a.at.Sub(reportedAt); a.engine == engine && after > drainTime {
 			late++
 			rec.logf("request %s runs at %s, %d ms after the report", a.id, a.engine, after.Milliseconds())
 		}
 	}
-	rec.sayf("statuses %v, runs by engine %v", statuses, byEngine)
-	rec.sayf("orders that ran at %s when it ended and are lost: %d", leaving.id, statuses[http.StatusBadGateway])
-	rec.sayf("requests that reached %s later than %v after its report: %d, allowed 0", leaving.id, drainTime, late)
-	return late > 0, nil
+	rec.sayf("of %d requests, those that reached %s later than %v after its report: %d, allowed 0", len(arrivals), engine, drainTime, late)
+	return late
 }
--- a/review/standins-2/stop.go
+++ b/review/standins-2/stop.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -74,59 +75,10 @@
 	for _, r := range f.routers {
 		names[r.front] = r.name
 	}
-	var requests []stopRequest
+	c := &stopClients{fleet: f, rec: rec, names: names, ttl: ttl, staleShare: staleShare, tokens: tokens, deadline: deadline}
 	clientsQuit := make(chan struct{})
 	for i := range clients {
-		go func() {
-			keep := ttl
-			if i%staleShare == 0 {
-				keep *= 3 // some clients keep an answer of the directory three times as long
-			}
-			c := &client{}
-			defer c.close()
-			var addresses []string
-			var lookedUp time.Time
-			time.Sleep(time.Duration(rand.Float64() * float64(5*time.Second)))
-			for {
-				select {
-				case <-clientsQuit:
-					return
-				default:
-				}
-				if time.Since(lookedUp) >= keep {
-					if found := lookUpOnce(f); len(found) > 0 {
-						addresses, lookedUp = found, time.Now()
-						if c.conn != nil && !contains(addresses, c.address) {
-							c.close()
-						}
-					}
-				}
-				if len(addresses) == 0 {
-					time.Sleep(100 * time.Millisecond)
-					continue
-				}
-				if c.conn == nil {
-					c.address = addresses[rand.IntN(len(addresses))]
-				}
-				q := request{
-					id: newID(), method: http.MethodPost, host: "notes.example", path: "/note/x", key: "key-1", deadline: deadline, body: strings.Repeat("p", 1700),
-					headers: map[string]string{
-						"Quetzalmount-Model": "m0", "Quetzalmount-Token-Counts": "826," + strconv.Itoa(tokens),
-						"Quetzalmount-Prompt-Prefix": "a1:119,b" + strconv.Itoa(i%40) + ":79,c" + strconv.Itoa(i) + ":628",
-					},
-				}
-				s := stopRequest{id: q.id, router: names[c.address], at: time.Now()}
-				s.answer = c.do(q)
-				s.ended = time.Now()
-				logAnswer(rec, q, s.at, s.router, s.answer)
-				mu.Lock()
-				requests = append(requests, s)
-				mu.Unlock()
-				if s.answer.status != http.StatusOK {
-					time.Sleep(100 * time.Millisecond)
-				}
-			}
-		}()
+		go c.run(i, clientsQuit)
 	}
 	time.Sleep(before)
 	stopped := f.routers[0]
@@ -149,35 +101,107 @@
 	close(clientsQuit)
 	mu.Lock()
 	defer mu.Unlock()
-	lost, results := 0, map[string]int{}
-	for _, s := range requests {
-		result := strconv.Itoa(s.answer.status)
-		if s.answer.status != 0 && !s.answer.whole {
-			result += " cut"
+	lost := c.countLost(stopped.name, stoppedAt, graceS, exempt, arrived)
+	rec.sayf("of those sent later than %v after it, cut while their engine was at work: %d, allowed 0", exempt, lost)
+	return lost > 0, nil
+}
+
+// stopClients are the clients of the case and what they got.
+type stopClients struct {
+	fleet *fleet
+	rec   *recorder
+	// names holds the routers' names by address.
+	names map[string]string
+	// ttl is the time for which an answer of the directory is kept, by one client in staleShare three times as long.
+	ttl        time.Duration
+	staleShare int
+	tokens     int
+	deadline   time.Duration
+
+	mu       sync.Mutex
+	requests []stopRequest
+}
+
+// run sends one stream after the other until quit is closed.
+func (s *stopClients) run(i int, quit <-chan struct{}) {
+	keep := s.ttl
+	if i%s.staleShare == 0 {
+		keep *= 3
+	}
+	c := &client{}
+	defer c.close()
+	var addresses []string
+	var lookedUp time.Time
+	time.Sleep(time.Duration(rand.Float64() * float64(5*time.Second)))
+	for {
+		select {
+		case <-quit:
+			return
+		default:
 		}
-		since := s.at.Sub(stoppedAt)
-		if s.router != stopped.name || since < 0 || since > graceS {
+		if time.Since(lookedUp) >= keep {
+			if found := lookUpOnce(s.fleet); len(found) > 0 {
+				addresses, lookedUp = found, time.Now()
+				if c.conn != nil && !slices.Contains(addresses, c.address) {
+					c.close()
+				}
+			}
+		}
+		if len(addresses) == 0 {
+			time.Sleep(100 * time.Millisecond)
 			continue
 		}
-		results[result]++
-		if since > exempt && arrived[s.id] != "" && !s.answer.whole && s.ended.Sub(s.at) < deadline-time.Second {
-			lost++
-			rec.logf("request %s, sent %d ms after SIGTERM, ran at %s and was cut %d ms after SIGTERM", s.id, since.Milliseconds(), arrived[s.id],
-				s.ended.Sub(stoppedAt).Milliseconds())
+		if c.conn == nil {
+			c.address = addresses[rand.IntN(len(addresses))]
+		}
+		if s.send(c, i) != http.StatusOK {
+			time.Sleep(100 * time.Millisecond)
 		}
 	}
-	rec.sayf("answers of %s to requests that were sent after SIGTERM: %v", stopped.name, results)
-	rec.sayf("of those sent later than %v after it, cut while their engine was at work: %d, allowed 0", exempt, lost)
-	return lost > 0, nil
 }
 
-func contains(all []string, one string) bool {
-	for _, a := range all {
-		if a == one {
-			return true
+// send sends one stream and returns the status of its answer.
+func (s *stopClients) send(c *client, i int) int {
+	q := request{
+		id: newID(), method: http.MethodPost, host: "notes.example", path: "/note/x", key: "key-1", deadline: s.deadline, body: strings.Repeat("p", 1700),
+		headers: map[string]string{
+			"Quetzalmount-Model": "m0", "Quetzalmount-Token-Counts": "826," + strconv.Itoa(s.tokens),
+			"Quetzalmount-Prompt-Prefix": "a1:119,b" + strconv.Itoa(i%40) + ":79,c" + strconv.Itoa(i) + ":628",
+		},
+	}
+	out := stopRequest{id: q.id, router: s.names[c.address], at: time.Now()}
+	out.answer = c.do(q)
+	out.ended = time.Now()
+	logAnswer(s.rec, q, out.at, out.router, out.answer)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.requests = append(s.requests, out)
+	return out.answer.status
+}
+
+// countLost returns the number of requests to a router, sent between exempt and grace after it was stopped, that were cut while an engine ran them.
+func (s *stopClients) countLost(router string, stoppedAt time.Time, grace, exempt time.Duration, arrived map[string]string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	lost, results := 0, map[string]int{}
+	for _, q := range s.requests {
+		since := q.at.Sub(stoppedAt)
+		if q.router != router || since < 0 || since > grace {
+			continue
+		}
+		result := strconv.Itoa(q.answer.status)
+		if q.answer.status != 0 && !q.answer.whole {
+			result += " cut"
+		}
+		results[result]++
+		if since > exempt && arrived[q.id] != "" && !q.answer.whole && q.ended.Sub(q.at) < s.deadline-time.Second {
+			lost++
+			s.rec.logf("request %s, sent %d ms after SIGTERM, ran at %s and was cut %d ms after SIGTERM", q.id, since.Milliseconds(), arrived[q.id],
+				q.ended.Sub(stoppedAt).Milliseconds())
 		}
 	}
-	return false
+	s.rec.sayf("answers of %s to requests that were sent after SIGTERM: %v", router, results)
+	return lost
 }
 
 // lookUpOnce asks the directories in turn for the addresses of the routers.
