serve: crowds at callers, operators and peers as failing tests, with settings for memory and descriptors

The tests of hostile senders have one sender at a time in the process of the test. These start the router as a process with few descriptors, and check memory, descriptors and an ordinary request at each listener. Limits.MemoryMB and Limits.Descriptors name what the process may use; nothing reads them yet.

--- a/internal/entry/e2e/harness_test.go
+++ b/internal/entry/e2e/harness_test.go
@@ -106,6 +106,8 @@
 	callersAddress, operatorsAddress, peersAddress string
 	dataCentre, settingsFile                       string
 	logUnreachable                                 bool
+	// openFiles is the number of descriptors of the process, 0 for those of the test.
+	openFiles int
 }
 
 // deployment is a set of routers and stand-ins.
@@ -131,12 +133,17 @@
 
 // start starts a program, which stopAll ends. Its output goes to a log file in d.dir.
 func (d *deployment) start(name, program string, args ...string) *process {
+	d.t.Helper()
+	return d.startCommand(name, exec.Command(filepath.Join(binDir, program), args...))
+}
+
+// startCommand is start with a command.
+func (d *deployment) startCommand(name string, cmd *exec.Cmd) *process {
 	d.t.Helper()
 	file, err := os.OpenFile(filepath.Join(d.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		d.t.Fatal(err)
 	}
-	cmd := exec.Command(filepath.Join(binDir, program), args...)
 	cmd.Stdout, cmd.Stderr = file, file
 	if err := cmd.Start(); err != nil {
 		d.t.Fatal(err)
@@ -160,6 +167,8 @@
 	logUnreachable int
 	// settings are additional settings of every router: section, key and value.
 	settings [][3]string
+	// openFiles is the number of descriptors of each router, 0 for those of the test.
+	openFiles int
 }
 
 // deploy starts a deployment and waits until the table is in force on all routers.
@@ -189,7 +198,7 @@
 	}
 	for i := range o.routers {
 		r := &router{name: fmt.Sprintf("entry-%d", i), callersAddress: freeAddress(t), operatorsAddress: freeAddress(t), peersAddress: freeAddress(t),
-			dataCentre: dataCentres[i%4], logUnreachable: i >= o.routers-o.logUnreachable}
+			dataCentre: dataCentres[i%4], logUnreachable: i >= o.routers-o.logUnreachable, openFiles: o.openFiles}
 		r.settingsFile = d.writeSettings(r, o.settings)
 		d.routers = append(d.routers, r)
 		instances = append(instances, lstsrv.Instance{ID: r.name, Kind: "Router", Address: r.callersAddress, PeerAddress: r.peersAddress,
@@ -243,7 +252,12 @@
 }
 
 func (d *deployment) startRouter(r *router) {
-	r.process = d.start(r.name, "quetzalmount", "serve", "--settings", r.settingsFile)
+	if r.openFiles == 0 {
+		r.process = d.start(r.name, "quetzalmount", "serve", "--settings", r.settingsFile)
+		return
+	}
+	r.process = d.startCommand(r.name, exec.Command("sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$0" serve --settings "$1"`, r.openFiles),
+		filepath.Join(binDir, "quetzalmount"), r.settingsFile))
 }
 
 // stopAll ends all processes. If the test failed, it copies their logs to a directory that outlives the test.
--- a/internal/infra/conf/conf.go
+++ b/internal/infra/conf/conf.go
@@ -41,6 +41,8 @@
 	FloorFraction float64
 	MaxBodyBytes  int64
 	MaxConns      int
+	// MemoryMB and Descriptors are what the process may use, 0 for half of the machine's memory and for the limit that the process was started with.
+	MemoryMB, Descriptors int
 
 	ReadHeaderTimeout, ReadBodyTimeout, WriteStallTimeout                 time.Duration
 	FirstTokenTimeout, ProgressTimeout, RequestTimeout, HeartbeatInterval time.Duration
@@ -123,6 +125,10 @@
 			func(s *Settings) *int64 { return &s.MaxBodyBytes }),
 		numericKey("Limits", "MaxConns", "4096", 1, 1<<20, "Most connections of callers at the same time.",
 			func(s *Settings) *int { return &s.MaxConns }),
+		numericKey("Limits", "MemoryMB", "0", 0, 1<<24, "Memory of this process in MB. 0 means half of the machine's.",
+			func(s *Settings) *int { return &s.MemoryMB }),
+		numericKey("Limits", "Descriptors", "0", 0, 1<<24, "Open descriptors of this process. 0 means the limit that it was started with.",
+			func(s *Settings) *int { return &s.Descriptors }),
 		numericKey("Limits", "DefaultOutputTokens", "1024", 1, 1000000,
 			"Output tokens reserved for a request that does not set max_tokens.",
 			func(s *Settings) *int { return &s.DefaultOutputTokens }),
