conns: a router without descriptors goes on

Cause: the table wrapped the error of accept. net/http's Server.Serve waits and goes on after a temporary error only if the error itself is a net.Error, so Serve returned, and the process ended; in serve it was drained for up to 150 s and answered nobody.

Fix: the error is returned as it is, for all listeners of both programs.

TestServerOutlivesExhaustion fails without it (connection reset, the server has ended).

--- a/internal/entry/conns/conns.go
+++ b/internal/entry/conns/conns.go
@@ -130,12 +130,12 @@
 	isTLS bool
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. Errors are those of the other listener: a server goes on after a temporary one only if it is not wrapped.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
 		raw, err := l.Listener.Accept()
 		if err != nil {
-			return nil, errors.WithStack(err)
+			return nil, err
 		}
 		c := &conn{Conn: raw, listener: l, phase: phaseNew, since: time.Now()}
 		if l.table.add(c) {
--- a/internal/entry/conns/conns_test.go
+++ b/internal/entry/conns/conns_test.go
@@ -4,10 +4,13 @@
 	"bufio"
 	"fmt"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"os"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -133,3 +136,35 @@
 	_, in = dial(t, address, "GET / HTTP/1.1\r\nHost: x\r\na: "+strings.Repeat("x", 15<<10)+"\r\n\r\n")
 	expect(t, in, 200)
 }
+
+// exhaustedListener fails once as if the process had no descriptor left.
+type exhaustedListener struct {
+	net.Listener
+	failed atomic.Bool
+}
+
+func (l *exhaustedListener) Accept() (net.Conn, error) {
+	if !l.failed.Swap(true) {
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return l.Listener.Accept()
+}
+
+// TestServerOutlivesExhaustion guards against a server that ends since the process had no descriptor for a connection.
+func TestServerOutlivesExhaustion(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	table := conns.New(conns.Options{})
+	s := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), ErrorLog: log.New(io.Discard, "", 0)}
+	table.Serve(s)
+	ended := make(chan error, 1)
+	go func() { ended <- s.Serve(table.Wrap(&exhaustedListener{Listener: l}, "test", 0, false)) }()
+	_, in := dial(t, l.Addr().String(), request)
+	expect(t, in, 200)
+	_ = s.Close()
+	if err := <-ended; !errors.Is(err, http.ErrServerClosed) {
+		t.Errorf("the server ended: %v", err)
+	}
+}
