logs: the queue of lines has a bound in bytes

Seen by callers: with a log that nobody reads a router grows beyond its machine's memory. A refused request is logged with its path, of which a client chooses 16 KB or, escaped, more.

Cause: the queue holds 2,048 lines of any size, up to some 100 MB.

Fix: it holds 2 MiB at most, beyond which lines are dropped and counted as before.

--- a/internal/infra/logs/queue.go
+++ b/internal/infra/logs/queue.go
@@ -8,27 +8,35 @@
 )
 
 // Queue is an asynchronous io.Writer for log lines, so that a slow consumer of the log does not delay requests. It buffers
-// at most MaxQueuedLines lines. It drops lines that do not fit, and logs how many it dropped.
+// at most MaxQueuedLines lines and MaxQueuedBytes bytes. It drops lines that do not fit, and logs how many it dropped.
 type Queue struct {
 	w     io.Writer
 	lines chan []byte
 
-	mu      sync.Mutex
-	dropped int
-	closed  bool
-	wg      sync.WaitGroup
+	mu sync.Mutex
+	// bytes is the size of the queued lines and of the one that is being written.
+	bytes, dropped int
+	closed         bool
+	wg             sync.WaitGroup
 }
 
 // MaxQueuedLines is the maximum number of buffered lines, enough for one second of a router that logs every request at peak
 // load.
 const MaxQueuedLines = 2048
 
+// MaxQueuedBytes is the maximum size of the buffered lines. It is above MaxQueuedLines ordinary ones; clients can make lines of 100 KB.
+const MaxQueuedBytes = 2 << 20
+
 // NewQueue returns a queue that writes to w in the background. Close flushes it.
 func NewQueue(w io.Writer) *Queue {
 	q := &Queue{w: w, lines: make(chan []byte, MaxQueuedLines)}
 	q.wg.Go(func() {
 		for line := range q.lines {
-			if _, err := w.Write(line); err != nil {
+			_, err := w.Write(line)
+			q.mu.Lock()
+			q.bytes -= len(line)
+			q.mu.Unlock()
+			if err != nil {
 				continue // the log cannot be written, and there is no other place to report the error
 			}
 			q.reportDropped()
@@ -44,8 +52,13 @@
 	if q.closed {
 		return len(line), nil
 	}
+	if q.bytes+len(line) > MaxQueuedBytes {
+		q.dropped++
+		return len(line), nil
+	}
 	select {
 	case q.lines <- append([]byte(nil), line...):
+		q.bytes += len(line)
 	default:
 		q.dropped++
 	}
