platform: loads of routers that don't exist are not kept

Seen by callers: a client of the listener for other routers makes a router exceed its memory by sending loads under one name after the other.

Cause: the tracker of loads keeps a report for each name that it gets, for 400 ms, and the listener takes calls from anyone.

Fix: what comes under the name of no member is answered and not kept.

--- a/internal/member/loads/loads.go
+++ b/internal/member/loads/loads.go
@@ -264,6 +264,11 @@
 // HandleExchange stores the loads that another router sent and returns the answer.
 func (t *Tracker) HandleExchange(theirs *peerpb.LoadShare) *peerpb.LoadShare {
 	t.store(theirs)
+	return t.Answer(theirs)
+}
+
+// Answer returns what HandleExchange does, and keeps nothing of the loads of the other router.
+func (t *Tracker) Answer(theirs *peerpb.LoadShare) *peerpb.LoadShare {
 	answer := t.answer(theirs)
 	if theirs.GetWantsSpeeds() {
 		t.mu.Lock()
