strict: the first byte of a request after one with chunks is retained

Cause: bytes are not retained as a head until the handler of the request with chunks has returned. Its answer reaches the caller before that, and net/http reads the first byte of the next request in the background. The head that was checked lacked it. For the same reason a head of which a part had come too early was checked without that part, so that a second framing in it wasn't seen if its last lines repeated the request line.

Fix: the framing of chunks is read along, which gives the end of the body exactly. What comes later is retained, from its first byte. A request that came together with the end of the body is refused as before, and one behind framing that could be read in two ways.

TestRequestAfterLargeAnswer fails without it (status 400).

--- a/internal/entry/strict/strict.go
+++ b/internal/entry/strict/strict.go
@@ -38,10 +38,12 @@
 
 	mu   sync.Mutex
 	head []byte
-	// bodyRemaining is the number of bytes of the current request's body that haven't been read yet. chunked is true while a body
-	// without a length is read, whose bytes aren't retained.
+	// bodyRemaining is the number of bytes of the current request's body that haven't been read yet. chunks finds the end of a body without a length; nil
+	// if none is being read.
 	bodyRemaining int64
-	chunked       bool
+	chunks        *chunkScanner
+	// ambiguous is set if the next request can't be told from the body in chunks before it.
+	ambiguous bool
 }
 
 // Unwrap returns the connection of the other listener.
@@ -59,7 +61,12 @@
 // consume skips the bytes of p that belong to the body of the current request, and retains the others as the head of the next one.
 // The caller holds mu.
 func (c *conn) consume(p []byte) {
-	if c.chunked {
+	if c.chunks != nil {
+		p = p[c.chunks.scan(p):]
+		if c.chunks.state == chunksEnd {
+			// Bytes that came with the end of the body are not taken for a request: they were sent before the response, which tells whether to go on.
+			c.chunks, c.ambiguous = nil, len(p) > 0
+		}
 		return
 	}
 	bodyBytes := min(c.bodyRemaining, int64(len(p)))
@@ -75,6 +82,9 @@
 func (c *conn) beginRequest(length int64) []byte {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.ambiguous {
+		return nil
+	}
 	// Servers skip empty lines before a request, net/http some of them.
 	c.head = bytes.TrimLeft(c.head, "\r\n")
 	end := bytes.Index(c.head, []byte("\r\n\r\n"))
@@ -82,7 +92,10 @@
 		return nil
 	}
 	head, rest := c.head[:end+4], c.head[end+4:]
-	c.head, c.bodyRemaining, c.chunked = nil, max(length, 0), length < 0
+	c.head, c.bodyRemaining = nil, max(length, 0)
+	if length < 0 {
+		c.chunks = &chunkScanner{}
+	}
 	c.consume(rest)
 	return head
 }
@@ -92,7 +105,9 @@
 func (c *conn) endRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.chunked = false
+	if c.chunks != nil {
+		c.chunks, c.ambiguous = nil, true
+	}
 }
 
 type connContextKey struct{}
--- a/internal/entry/strict/strict_test.go
+++ b/internal/entry/strict/strict_test.go
@@ -214,6 +214,56 @@
 	}
 }
 
+// TestRequestAfterLargeAnswer guards against the loss of the first bytes of a request that comes after the response to one with a body in chunks, but before
+// the handler has returned. A response that is larger than the server's buffers arrives before that.
+func TestRequestAfterLargeAnswer(t *testing.T) {
+	const first = "POST /1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n2;x=y\r\nhi\r\n00\r\nTrailer: x\r\n\r\n"
+	const next = "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n"
+	sent := make(chan struct{})
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, end, err := strict.Begin(r)
+		defer end()
+		if err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("Content-Length", "2")
+		_, _ = io.WriteString(w, "ok")
+		_ = http.NewResponseController(w).Flush()
+		if r.URL.Path == "/1" {
+			<-sent
+			// The server reads the first byte of the next request in the background.
+			time.Sleep(100 * time.Millisecond)
+		}
+	}))
+	server.Listener, server.Config.ConnContext = strict.Listener{Listener: server.Listener}, strict.ConnContext
+	server.Start()
+	defer server.Close()
+	c, err := net.Dial("tcp", server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	responses := bufio.NewReader(c)
+	for i, text := range []string{first, next} {
+		if _, err := io.WriteString(c, text); err != nil {
+			t.Fatal(err)
+		}
+		if i > 0 {
+			close(sent)
+		}
+		resp, err := http.ReadResponse(responses, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.StatusCode != http.StatusOK {
+			t.Errorf("request %d: status %d, %v", i+1, resp.StatusCode, err)
+		}
+	}
+}
+
 // FuzzHeads guards against a request that net/http parses in another way than Check, and that is accepted: its framing is ambiguous. Whatever is
 // accepted must be the requests that a strict reading of the bytes from the start gives.
 func FuzzHeads(f *testing.F) {
