conns: a connection closed for room gets no 400

Seen by callers: a connection that is closed while its request is read, to make room, gets 400, after which clients don't send the request again.

Cause: net/http answers an error of a read with 400 unless it is the end of the connection, a time-out or a net.OpError of a read. The table returned plain errors, also after it had written 431 itself.

Fix: they are net.OpErrors of a read, so that the connection ends without a status, or with the 431 alone. TestNoResponseToClosedHead: status 400 before, a closed connection now.

--- a/internal/entry/conns/conns.go
+++ b/internal/entry/conns/conns.go
@@ -276,10 +276,10 @@
 	return State{Serving: c.phase == phaseServing, IsNew: c.phase == phaseNew, HeadMemory: c.cost, Since: c.since}
 }
 
-// errHeadTooLarge and errNoRoom end connections that a table closes.
+// errHeadTooLarge and errNoRoom end connections that a table closes. A server answers other errors of a read with status 400.
 var (
-	errHeadTooLarge = errors.New("the head of the request is too large")
-	errNoRoom       = errors.New("the heads of requests take too much memory")
+	errHeadTooLarge = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("the head of the request is too large")}
+	errNoRoom       = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("the connection is closed to make room")}
 )
 
 // Read implements net.Conn. It counts what is read while no request is in progress as head.
--- a/internal/entry/conns/conns_test.go
+++ b/internal/entry/conns/conns_test.go
@@ -168,3 +168,15 @@
 		t.Errorf("the server ended: %v", err)
 	}
 }
+
+// TestNoResponseToClosedHead guards against status 400, after which callers don't repeat a request, on a connection that is closed since heads take too much
+// memory.
+func TestNoResponseToClosedHead(t *testing.T) {
+	address := start(t, conns.Options{HeadMemory: 64 << 10, MaxHeadBytes: func() int { return 1 << 20 }}, 0,
+		http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	c, in := dial(t, address, "GET / HTTP/1.1\r\n")
+	_, _ = io.WriteString(c, strings.Repeat("a:\r\n", 20_000))
+	if resp, err := http.ReadResponse(in, nil); err == nil {
+		t.Errorf("status %d, want a closed connection", resp.StatusCode)
+	}
+}
