conns: a request whose body doesn't come gives way, and has a time limit at every listener

Seen by callers: 800 clients whose requests have a whole head and no body keep everyone out, at callers (no route or no key), directory, ready, metrics and peers, without end.

Cause: a connection counted as in use from the end of the head, and is never closed for room then. Handlers that read no body left it to net/http, which reads up to 256 KB of it before it answers, without a time limit since the one for heads had been taken back.

Fix: a connection is in use once the body was read to its end. Whoever has been awaited for a second or more goes first, the oldest first, and one that has just begun comes last, so that a crowd that connects again and again doesn't take the places of those that send.

--- a/internal/entry/conns/conns.go
+++ b/internal/entry/conns/conns.go
@@ -1,8 +1,10 @@
-// Package conns bounds what the connections of clients make a process hold: their number, and the memory of request heads.
+// Package conns bounds what the connections of clients make a process hold: their number, the memory of request heads, and the time for which a client
+// may keep the process waiting.
 //
 // It applies when clients don't keep to the limits that they are told: they open connections without end, or send heads of thousands of fields, or
-// never end a head. net/http keeps several times the size of such a head in memory until it is complete, for any number of connections. When a bound
-// is reached, a connection that is idle or has sent no whole request is closed, so that clients which send requests get answers; see Victim.
+// never end a head or a body. net/http keeps several times the size of such a head in memory until it is complete, for any
+// number of connections. When a bound is reached, a connection that is idle or has sent no whole request is closed, so that
+// clients which send requests get answers; see Victim.
 package conns
 
 import (
@@ -33,6 +35,9 @@
 	minHeadMargin = 8 << 10
 	// refuseTimeout is the time for writing the response to a head that is too large.
 	refuseTimeout = 100 * time.Millisecond
+	// freshTime is the time for which a client that has begun to send something is expected to go on. Packets that were lost are sent again
+	// within it.
+	freshTime = time.Second
 )
 
 // Options are the settings of a Table.
@@ -41,6 +46,8 @@
 	HeadMemory int64
 	// MaxHeadBytes returns the size of the largest head that is accepted, 0 if it is not known yet; nil means the same.
 	MaxHeadBytes func() int
+	// BodyTimeout is the longest time for the body of a request, 0 for no limit.
+	BodyTimeout time.Duration
 	// Scope receives metrics; nil discards them. The zero Log discards lines.
 	Scope tally.Scope
 	Log   logr.Logger
@@ -65,7 +72,8 @@
 	if opts.Scope == nil {
 		opts.Scope = tally.NoopScope
 	}
-	return &Table{opts: opts, conns: map[*listener]map[*conn]bool{}}
+	t := &Table{opts: opts, conns: map[*listener]map[*conn]bool{}}
+	return t
 }
 
 // Wrap returns a listener whose connections are bounded. name is that of the listener in logs and metrics, most the largest number of connections, 0
@@ -83,7 +91,10 @@
 	handler, connContext := s.Handler, s.ConnContext
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, ok := r.Context().Value(contextKey{}).(*conn); ok {
-			c.setPhase(phaseServing)
+			if r, ok = c.beginRequest(r); !ok {
+				// The connection is being closed to make room. A request that is handled now would run without a response.
+				panic(http.ErrAbortHandler)
+			}
 		}
 		handler.ServeHTTP(w, r)
 	})
@@ -103,6 +114,45 @@
 	}
 }
 
+// beginRequest records that the head of a request is whole, and returns the request with a body that records its end. It returns false if the connection
+// was closed to make room.
+func (c *conn) beginRequest(r *http.Request) (*http.Request, bool) {
+	if r.ContentLength == 0 {
+		return r, c.setPhase(phaseServing)
+	}
+	if !c.setPhase(phaseBody) {
+		return nil, false
+	}
+	// The server keeps the original request, whose body it reads to its end if the handler hasn't.
+	own := *r
+	own.Body = &body{ReadCloser: r.Body, conn: c, remaining: r.ContentLength}
+	return &own, true
+}
+
+// body is the body of a request. It records when it was read to its end.
+type body struct {
+	io.ReadCloser
+	conn *conn
+	// remaining is the number of bytes that were not read yet, negative if it isn't known.
+	remaining int64
+	ended     bool
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if b.remaining >= 0 {
+		b.remaining -= int64(n)
+	}
+	if !b.ended && (b.remaining == 0 || err == io.EOF) {
+		b.ended = true
+		if !b.conn.setPhase(phaseServing) {
+			return 0, errNoRoom
+		}
+	}
+	return n, err
+}
+
 type contextKey struct{}
 
 // find returns the connection of a table below others that wrap it, nil if there is none.
@@ -150,7 +200,7 @@
 	l := c.listener
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if l.most > 0 && len(t.conns[l]) >= l.most && !t.closeOne(l, "Connections", nil) {
+	if l.most > 0 && len(t.conns[l]) >= l.most && !t.closeOne(l, "Connections") {
 		t.count(l, "Connections", "Refused")
 		return false
 	}
@@ -158,31 +208,27 @@
 	return true
 }
 
-// closeOne closes a connection to make room, of one listener or of all if l is nil. except is not closed. It returns false if all have requests in
-// progress. The caller holds mu.
-func (t *Table) closeOne(l *listener, bound string, except *conn) bool {
-	var candidates []State
-	var conns []*conn
-	for owner, all := range t.conns {
-		if l != nil && owner != l {
-			continue
-		}
-		for c := range all {
-			if c != except {
-				candidates, conns = append(candidates, c.state()), append(conns, c)
-			}
-		}
+// closeOne closes a connection of a listener to make room. It returns false if all have requests in progress. The caller holds mu.
+func (t *Table) closeOne(l *listener, bound string) bool {
+	now := time.Now()
+	states, conns := make([]State, 0, len(t.conns[l])), make([]*conn, 0, len(t.conns[l]))
+	for c := range t.conns[l] {
+		states, conns = append(states, c.state(now)), append(conns, c)
 	}
-	i, ok := Victim(candidates)
+	i, ok := Victim(states)
 	if !ok {
 		return false
 	}
-	c := conns[i]
+	t.closeFor(conns[i], bound)
+	return true
+}
+
+// closeFor closes a connection because of a bound. The caller holds mu.
+func (t *Table) closeFor(c *conn, bound string) {
 	t.count(c.listener, bound, "Closed")
 	t.opts.Log.V(1).Info("connection closed to make room", "Listener", c.listener.name, "Bound", bound, "Phase", c.phase, "HeadMemory", c.cost)
 	t.remove(c)
 	go func() { _ = c.Conn.Close() }()
-	return true
 }
 
 func (t *Table) count(l *listener, bound, result string) {
@@ -227,7 +273,7 @@
 	var largest *conn
 	for _, all := range t.conns {
 		for c := range all {
-			if c.phase != phaseServing && c.cost > 0 && (largest == nil || c.cost > largest.cost) {
+			if c.phase.isHead() && c.cost > 0 && (largest == nil || c.cost > largest.cost) {
 				largest = c
 			}
 		}
@@ -243,37 +289,87 @@
 	// The fields below are guarded by the table's lock.
 
 	phase phase
-	// since is when the phase began. cost is the memory that the head takes.
-	since time.Time
-	cost  int64
+	// since is when the phase began, headSince when the head that is being read began. cost is the memory that the head takes.
+	since, headSince time.Time
+	cost             int64
 	// headBytes is the number of bytes that were read since the last request ended.
 	headBytes int
+	// readDeadline is the one that the server has set, appliedDeadline the one in force.
+	readDeadline, appliedDeadline time.Time
 }
 
 // phase is what a connection is doing.
 type phase string
 
 const (
-	// phaseNew means that no whole request has come yet, phaseIdle that none is in progress, also while the head of the next one is being read.
+	// phaseNew means that no whole request has come yet, phaseIdle that none is in progress, also while the head of the next one is being read, and
+	// phaseBody that the body of a request has not been read to its end.
 	phaseNew     phase = "New"
 	phaseIdle    phase = "Idle"
+	phaseBody    phase = "Body"
 	phaseServing phase = "Serving"
 )
 
-func (c *conn) setPhase(p phase) {
+// isHead reports whether what is read belongs to the head of a request.
+func (p phase) isHead() bool { return p == phaseNew || p == phaseIdle }
+
+// setPhase records what the connection does from now on. It returns false if the connection was closed to make room.
+func (c *conn) setPhase(p phase) bool {
 	t := c.listener.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if !t.conns[c.listener][c] {
+		return false
+	}
 	c.phase, c.since = p, time.Now()
 	if p == phaseIdle {
 		t.headMemory -= c.cost
 		c.cost, c.headBytes = 0, 0
 	}
+	if p != phaseIdle {
+		_ = c.applyDeadline()
+	}
+	return true
 }
 
 // state returns the input of Victim. The caller holds the table's lock.
-func (c *conn) state() State {
-	return State{Serving: c.phase == phaseServing, IsNew: c.phase == phaseNew, HeadMemory: c.cost, Since: c.since}
+func (c *conn) state(now time.Time) State {
+	s := State{Serving: c.phase == phaseServing, IsNew: c.phase == phaseNew, ReadsBody: c.phase == phaseBody, HeadMemory: c.cost, Since: c.since}
+	if c.phase == phaseIdle && c.headBytes > 0 {
+		s.Since = c.headSince
+	}
+	s.IsFresh = now.Sub(s.Since) < freshTime
+	return s
+}
+
+// effectiveDeadline returns the time by which something must be read: the one that the server has set, or the one that the phase sets if that is
+// earlier. The caller holds the table's lock.
+func (c *conn) effectiveDeadline() time.Time {
+	timeout := c.listener.table.opts.BodyTimeout
+	own := c.since.Add(timeout)
+	if c.phase != phaseBody || timeout <= 0 || !c.readDeadline.IsZero() && c.readDeadline.Before(own) {
+		return c.readDeadline
+	}
+	return own
+}
+
+// applyDeadline puts the effective deadline in force. The caller holds the table's lock.
+func (c *conn) applyDeadline() error {
+	at := c.effectiveDeadline()
+	if at.Equal(c.appliedDeadline) {
+		return nil
+	}
+	c.appliedDeadline = at
+	return c.Conn.SetReadDeadline(at)
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(at time.Time) error {
+	t := c.listener.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c.readDeadline = at
+	return c.applyDeadline()
 }
 
 // errHeadTooLarge and errNoRoom end connections that a table closes. A server answers other errors of a read with status 400.
@@ -287,9 +383,12 @@
 	n, err := c.Conn.Read(p)
 	t := c.listener.table
 	t.mu.Lock()
-	isHead := c.phase != phaseServing
-	if isHead {
+	isHead := c.phase.isHead()
+	if isHead && n > 0 {
 		c.headBytes += n
+		if c.headBytes == n {
+			c.headSince = time.Now()
+		}
 	}
 	tooLarge := isHead && c.headBytes > headLimit(t.opts.MaxHeadBytes())
 	t.mu.Unlock()
--- a/internal/entry/conns/conns_test.go
+++ b/internal/entry/conns/conns_test.go
@@ -180,3 +180,27 @@
 		t.Errorf("status %d, want a closed connection", resp.StatusCode)
 	}
 }
+
+// TestClosedRequestIsNotRun guards against a request that runs although its connection was closed to make room: its handler must not get the whole body.
+func TestClosedRequestIsNotRun(t *testing.T) {
+	const longerThanFresh = 1100 * time.Millisecond
+	entered, proceed, result := make(chan struct{}), make(chan struct{}), make(chan error, 1)
+	address := start(t, conns.Options{}, 1, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.ContentLength == 0 {
+			return
+		}
+		close(entered)
+		<-proceed
+		_, err := io.ReadAll(r.Body)
+		result <- err
+	}))
+	dial(t, address, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nhi")
+	<-entered
+	time.Sleep(longerThanFresh)
+	_, in := dial(t, address, request)
+	expect(t, in, 200)
+	close(proceed)
+	if err := <-result; err == nil {
+		t.Error("the handler read the whole body of a request whose connection was closed")
+	}
+}
