conns: a client that doesn't take its response gives way, and has a time limit at every listener

Seen by callers: 160 clients that ask for the metrics again and again and read nothing keep everyone out of that listener, without end.

Cause: only the handlers for callers set a time limit for writing. All others block until the client reads, and count as in use.

A connection whose client has taken in nothing for a second may be closed for room, after those that are idle.

--- a/internal/entry/conns/conns.go
+++ b/internal/entry/conns/conns.go
@@ -2,8 +2,8 @@
 // may keep the process waiting.
 //
 // It applies when clients don't keep to the limits that they are told: they open connections without end, or send heads of thousands of fields, or
-// never end a head or a body. net/http keeps several times the size of such a head in memory until it is complete, for any
-// number of connections. When a bound is reached, a connection that is idle or has sent no whole request is closed, so that
+// never end a head or a body, or don't read responses. net/http keeps several times the size of such a head in memory until it is complete, for any
+// number of connections. When a bound is reached, a connection that is idle, has sent no whole request or doesn't take its response is closed, so that
 // clients which send requests get answers; see Victim.
 package conns
 
@@ -15,6 +15,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -35,9 +36,11 @@
 	minHeadMargin = 8 << 10
 	// refuseTimeout is the time for writing the response to a head that is too large.
 	refuseTimeout = 100 * time.Millisecond
-	// freshTime is the time for which a client that has begun to send something is expected to go on. Packets that were lost are sent again
+	// freshTime is the time for which a client that has begun to send or to take something in is expected to go on. Packets that were lost are sent again
 	// within it.
 	freshTime = time.Second
+	// writePartBytes is the size of the parts in which responses are written, each within Options.WriteTimeout.
+	writePartBytes = 16 << 10
 )
 
 // Options are the settings of a Table.
@@ -46,8 +49,9 @@
 	HeadMemory int64
 	// MaxHeadBytes returns the size of the largest head that is accepted, 0 if it is not known yet; nil means the same.
 	MaxHeadBytes func() int
-	// BodyTimeout is the longest time for the body of a request, 0 for no limit.
-	BodyTimeout time.Duration
+	// BodyTimeout is the longest time for the body of a request, WriteTimeout that for taking in writePartBytes of a response if its handler sets none. 0 is
+	// no limit.
+	BodyTimeout, WriteTimeout time.Duration
 	// Scope receives metrics; nil discards them. The zero Log discards lines.
 	Scope tally.Scope
 	Log   logr.Logger
@@ -56,6 +60,8 @@
 // Table holds the connections of all listeners of a process. It is safe for concurrent use.
 type Table struct {
 	opts Options
+	// start is the origin of conn.writingSince.
+	start time.Time
 
 	mu sync.Mutex
 	// conns holds the connections by listener.
@@ -72,7 +78,7 @@
 	if opts.Scope == nil {
 		opts.Scope = tally.NoopScope
 	}
-	t := &Table{opts: opts, conns: map[*listener]map[*conn]bool{}}
+	t := &Table{opts: opts, start: time.Now(), conns: map[*listener]map[*conn]bool{}}
 	return t
 }
 
@@ -285,6 +291,8 @@
 type conn struct {
 	net.Conn
 	listener *listener
+	// writingSince is when the write in progress began, in nanoseconds after the table's start, 0 if there is none.
+	writingSince atomic.Int64
 
 	// The fields below are guarded by the table's lock.
 
@@ -294,8 +302,9 @@
 	cost             int64
 	// headBytes is the number of bytes that were read since the last request ended.
 	headBytes int
-	// readDeadline is the one that the server has set, appliedDeadline the one in force.
+	// readDeadline is the one that the server has set, appliedDeadline the one in force. hasWriteDeadline is set if there is one for writing.
 	readDeadline, appliedDeadline time.Time
+	hasWriteDeadline              bool
 }
 
 // phase is what a connection is doing.
@@ -338,6 +347,11 @@
 	if c.phase == phaseIdle && c.headBytes > 0 {
 		s.Since = c.headSince
 	}
+	if at := c.writingSince.Load(); at > 0 {
+		if since := c.listener.table.start.Add(time.Duration(at)); now.Sub(since) >= freshTime {
+			s.WriteBlocked, s.Since = true, since
+		}
+	}
 	s.IsFresh = now.Sub(s.Since) < freshTime
 	return s
 }
@@ -372,6 +386,45 @@
 	return c.applyDeadline()
 }
 
+// SetWriteDeadline implements net.Conn.
+func (c *conn) SetWriteDeadline(at time.Time) error {
+	t := c.listener.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c.hasWriteDeadline = !at.IsZero()
+	return c.Conn.SetWriteDeadline(at)
+}
+
+// SetDeadline implements net.Conn.
+func (c *conn) SetDeadline(at time.Time) error {
+	if err := c.SetReadDeadline(at); err != nil {
+		return err
+	}
+	return c.SetWriteDeadline(at)
+}
+
+// Write implements net.Conn. Each part has a deadline, unless the handler has set one.
+func (c *conn) Write(p []byte) (int, error) {
+	t := c.listener.table
+	t.mu.Lock()
+	hasDeadline := c.hasWriteDeadline || t.opts.WriteTimeout <= 0
+	t.mu.Unlock()
+	defer c.writingSince.Store(0)
+	n := 0
+	for {
+		part := p[n:min(n+writePartBytes, len(p))]
+		now := time.Now()
+		c.writingSince.Store(int64(now.Sub(t.start)))
+		if !hasDeadline {
+			_ = c.Conn.SetWriteDeadline(now.Add(t.opts.WriteTimeout))
+		}
+		written, err := c.Conn.Write(part)
+		if n += written; err != nil || n == len(p) {
+			return n, err
+		}
+	}
+}
+
 // errHeadTooLarge and errNoRoom end connections that a table closes. A server answers other errors of a read with status 400.
 var (
 	errHeadTooLarge = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("the head of the request is too large")}
--- a/internal/entry/server/listen.go
+++ b/internal/entry/server/listen.go
@@ -41,7 +41,8 @@
 	if err != nil {
 		return nil, errors.WithMessagef(err, "listen for %s", name)
 	}
-	table := conns.New(conns.Options{HeadMemory: headMemory, MaxHeadBytes: func() int { return maxHeaderBytes }, BodyTimeout: s.ReadBodyTimeout})
+	table := conns.New(conns.Options{HeadMemory: headMemory, MaxHeadBytes: func() int { return maxHeaderBytes }, BodyTimeout: s.ReadBodyTimeout,
+		WriteTimeout: s.WriteStallTimeout})
 	l = table.Wrap(l, name, maxConns, certFile != "")
 	if certFile != "" {
 		reloader, err := certs.New(certFile, keyFile)
