platform: headerTimeoutMs and idleTimeoutMs of the configuration are in force

Seen by callers: a head that comes within the time that the configuration gives, when that is more than 5 s, is cut; where the time is less, clients may take 5 s. Idle connections stay for 2 min, whatever the configuration says.

Cause: both were decoded and used by nothing. The servers have fixed times.

Fix: the table of connections sets them, from the configuration in force at the moment: from the first byte of a head, for a new connection from its start, and between two requests. The fixed times remain for a router without a configuration.

--- a/internal/entry/conns/conns.go
+++ b/internal/entry/conns/conns.go
@@ -49,6 +49,9 @@
 	HeadMemory int64
 	// MaxHeadBytes returns the size of the largest head that is accepted, 0 if it is not known yet; nil means the same.
 	MaxHeadBytes func() int
+	// HeadTimeout returns the time for a head from its first byte on, and for the first byte of a new connection; IdleTimeout that between two requests.
+	// Zero times, and nil, leave these to the server.
+	HeadTimeout, IdleTimeout func() time.Duration
 	// BodyTimeout is the longest time for the body of a request, WriteTimeout that for taking in writePartBytes of a response if its handler sets none. 0 is
 	// no limit.
 	BodyTimeout, WriteTimeout time.Duration
@@ -75,6 +78,12 @@
 	if opts.MaxHeadBytes == nil {
 		opts.MaxHeadBytes = func() int { return 0 }
 	}
+	if opts.HeadTimeout == nil {
+		opts.HeadTimeout = func() time.Duration { return 0 }
+	}
+	if opts.IdleTimeout == nil {
+		opts.IdleTimeout = func() time.Duration { return 0 }
+	}
 	if opts.Scope == nil {
 		opts.Scope = tally.NoopScope
 	}
@@ -211,6 +220,7 @@
 		return false
 	}
 	t.conns[l][c] = true
+	_ = c.applyDeadline()
 	return true
 }
 
@@ -359,9 +369,19 @@
 // effectiveDeadline returns the time by which something must be read: the one that the server has set, or the one that the phase sets if that is
 // earlier. The caller holds the table's lock.
 func (c *conn) effectiveDeadline() time.Time {
-	timeout := c.listener.table.opts.BodyTimeout
-	own := c.since.Add(timeout)
-	if c.phase != phaseBody || timeout <= 0 || !c.readDeadline.IsZero() && c.readDeadline.Before(own) {
+	opts, begin, timeout := c.listener.table.opts, c.since, time.Duration(0)
+	switch {
+	case c.phase == phaseIdle && c.headBytes > 0:
+		begin, timeout = c.headSince, opts.HeadTimeout()
+	case c.phase == phaseIdle:
+		timeout = opts.IdleTimeout()
+	case c.phase == phaseNew:
+		timeout = opts.HeadTimeout()
+	case c.phase == phaseBody:
+		timeout = opts.BodyTimeout
+	}
+	own := begin.Add(timeout)
+	if timeout <= 0 || !c.readDeadline.IsZero() && c.readDeadline.Before(own) {
 		return c.readDeadline
 	}
 	return own
@@ -441,6 +461,7 @@
 		c.headBytes += n
 		if c.headBytes == n {
 			c.headSince = time.Now()
+			_ = c.applyDeadline()
 		}
 	}
 	tooLarge := isHead && c.headBytes > headLimit(t.opts.MaxHeadBytes())
--- a/internal/entry/conns/conns_test.go
+++ b/internal/entry/conns/conns_test.go
@@ -204,3 +204,41 @@
 		t.Error("the handler read the whole body of a request whose connection was closed")
 	}
 }
+
+// TestTimeouts guards against a client that holds a connection by a head, a body or a response that takes longer than it may, or by no request at all.
+func TestTimeouts(t *testing.T) {
+	const timeout = 200 * time.Millisecond
+	limit := func() time.Duration { return timeout }
+	opts := conns.Options{HeadTimeout: limit, IdleTimeout: limit, BodyTimeout: timeout, WriteTimeout: timeout}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	table, closed := conns.New(opts), make(chan struct{}, 10)
+	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/large" {
+			_, _ = w.Write(make([]byte, 64<<20))
+		}
+	})}
+	table.Serve(s)
+	connState := s.ConnState
+	s.ConnState = func(c net.Conn, state http.ConnState) {
+		connState(c, state)
+		if state == http.StateClosed {
+			closed <- struct{}{}
+		}
+	}
+	go func() { _ = s.Serve(table.Wrap(l, "test", 0, false)) }()
+	t.Cleanup(func() { _ = s.Close() })
+	for name, text := range map[string]string{
+		"new": "", "head": "GET / HTTP/1.1\r\n", "idle": request, "body": "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nh",
+		"next head": request + "GET /", "response": "GET /large HTTP/1.1\r\nHost: x\r\n\r\n",
+	} {
+		dial(t, l.Addr().String(), text)
+		select {
+		case <-closed:
+		case <-time.After(10 * time.Second):
+			t.Errorf("%s: the connection is still open after 10 s, want %v", name, timeout)
+		}
+	}
+}
