supply: one account of the sockets of a process

Seen by callers: idle connections to all listeners together take every descriptor of a router; it can reach no engine then, and answers neither an ordinary request nor the platform's question whether it is ready.

Cause: each listener has a bound of its own; together they leave an eighth of the descriptors, less on small machines, and connections to engines, each of which a request in progress needs, are counted by nobody.

Fix: internal/limit/supply counts the sockets of the process in both directions. Connections of clients leave an eighth of them, and give way to one that the process needs, from the listener that has the largest part of its connections open. If accept or dial find no descriptor although the account has some, a connection gives way too. An attempt without a socket is refused as not run and says nothing about the engine.

--- a/internal/client/carry/carry.go
+++ b/internal/client/carry/carry.go
@@ -17,6 +17,7 @@
 	qm "quetzalmount.dev/quetzalmount"
 	"quetzalmount.dev/quetzalmount/internal/client/ending"
 	"quetzalmount.dev/quetzalmount/internal/client/pool"
+	"quetzalmount.dev/quetzalmount/internal/limit/supply"
 )
 
 // Codec writes the request headers and checks the response headers that are specific to the endpoints.
@@ -96,6 +97,9 @@
 	}
 	if err != nil {
 		sendCtx.end()
+		if !trace.Sent() && errors.Is(err, supply.ErrNone) {
+			return nil, qm.Refuse(qm.CodeOverload, "connect", "%v", supply.ErrNone).WithCause(err)
+		}
 		if !trace.Sent() {
 			return nil, qm.Refuse(qm.CodeEndpointUnreached, "connect", "no connection: %v", err).WithPeer(o.Endpoint.Address).WithCause(err)
 		}
--- a/internal/client/ending/ending.go
+++ b/internal/client/ending/ending.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"os"
 	"syscall"
@@ -16,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	qm "quetzalmount.dev/quetzalmount"
+	"quetzalmount.dev/quetzalmount/internal/client/pool"
 	"quetzalmount.dev/quetzalmount/internal/infra/period"
 )
 
@@ -47,8 +47,7 @@
 // Probe is the ProbeFunc for TCP. It opens a connection and waits for exitTime: a connection that a process has not accepted, or has accepted
 // shortly before it was killed, ends within that time.
 func Probe(ctx context.Context, e *qm.Endpoint) error {
-	var d net.Dialer
-	c, err := d.DialContext(ctx, "tcp", e.Address)
+	c, err := pool.Dial(ctx, e.Address)
 	if errors.Is(err, syscall.ECONNRESET) {
 		return errors.Wrapf(errTurnedAway, "probe %s: %v", e.ID, err)
 	}
--- a/internal/client/pool/pool.go
+++ b/internal/client/pool/pool.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	qm "quetzalmount.dev/quetzalmount"
+	"quetzalmount.dev/quetzalmount/internal/limit/supply"
 )
 
 const (
@@ -112,13 +113,14 @@
 	}
 	p := &Pool{opts: opts}
 	p.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
-		c, err := d.DialContext(ctx, network, addr)
+		c, err := dialBounded(ctx, d, network, addr)
 		if err != nil {
 			return nil, err
 		}
 		if t, ok := c.(*net.TCPConn); ok && opts.ResetOnClose {
 			if err := t.SetLinger(0); err != nil {
 				_ = t.Close()
+				supply.Sockets.Return(1)
 				return nil, errors.Wrap(err, "set linger")
 			}
 		}
@@ -129,6 +131,31 @@
 	return p
 }
 
+// dialBounded opens a connection that takes one of the sockets of the process. The caller returns it when the connection is closed. If the process has no
+// descriptor left, a connection of a client gives way.
+func dialBounded(ctx context.Context, d *net.Dialer, network, addr string) (net.Conn, error) {
+	if err := supply.Sockets.Take(1); err != nil {
+		return nil, err
+	}
+	c, err := d.DialContext(ctx, network, addr)
+	if supply.IsExhausted(err) && supply.Sockets.Evict() {
+		c, err = d.DialContext(ctx, network, addr)
+	}
+	if err != nil {
+		supply.Sockets.Return(1)
+	}
+	return c, err
+}
+
+// Dial opens a TCP connection outside of any Pool. It takes one of the sockets of the process until it is closed.
+func Dial(ctx context.Context, address string) (net.Conn, error) {
+	c, err := dialBounded(ctx, &net.Dialer{}, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return newConn(c), nil
+}
+
 func (p *Pool) newTransport() *http.Transport {
 	return &http.Transport{
 		DialContext:            p.dial,
@@ -211,8 +238,7 @@
 
 // Probe checks that an endpoint accepts TCP connections.
 func Probe(ctx context.Context, e *qm.Endpoint) error {
-	var d net.Dialer
-	c, err := d.DialContext(ctx, "tcp", e.Address)
+	c, err := Dial(ctx, e.Address)
 	if err != nil {
 		return errors.WithMessagef(err, "probe %s", e.ID)
 	}
--- a/internal/client/pool/trace.go
+++ b/internal/client/pool/trace.go
@@ -19,6 +19,8 @@
 type conn struct {
 	net.Conn
 	upload upload
+	// socket is the socket that the connection took. It is returned once.
+	socket sync.Once
 
 	mu      sync.Mutex
 	writes  int64
--- a/internal/client/pool/upload.go
+++ b/internal/client/pool/upload.go
@@ -9,6 +9,8 @@
 	"sync"
 
 	"github.com/pkg/errors"
+
+	"quetzalmount.dev/quetzalmount/internal/limit/supply"
 )
 
 // errUploadCut is returned in place of the end of a connection whose request was not written to its end.
@@ -75,6 +77,7 @@
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	defer c.upload.end(false)
+	defer c.socket.Do(func() { supply.Sockets.Return(1) })
 	return errors.WithStack(c.Conn.Close())
 }
 
--- a/internal/entry/conns/conns.go
+++ b/internal/entry/conns/conns.go
@@ -9,11 +9,14 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"crypto/tls"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +24,8 @@
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
+
+	"quetzalmount.dev/quetzalmount/internal/limit/supply"
 )
 
 const (
@@ -55,6 +60,8 @@
 	// BodyTimeout is the longest time for the body of a request, WriteTimeout that for taking in writePartBytes of a response if its handler sets none. 0 is
 	// no limit.
 	BodyTimeout, WriteTimeout time.Duration
+	// Sockets bounds the sockets of the process; nil for no bound. The table makes its connections give way if there are no more.
+	Sockets *supply.Limit
 	// Scope receives metrics; nil discards them. The zero Log discards lines.
 	Scope tally.Scope
 	Log   logr.Logger
@@ -87,7 +94,15 @@
 	if opts.Scope == nil {
 		opts.Scope = tally.NoopScope
 	}
+	if opts.Sockets == nil {
+		opts.Sockets = supply.New(0)
+	}
 	t := &Table{opts: opts, start: time.Now(), conns: map[*listener]map[*conn]bool{}}
+	opts.Sockets.OnFull(func() bool {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		return t.closeAny("Sockets")
+	})
 	return t
 }
 
@@ -200,6 +215,9 @@
 	for {
 		raw, err := l.Listener.Accept()
 		if err != nil {
+			if supply.IsExhausted(err) {
+				l.table.opts.Sockets.Evict()
+			}
 			return nil, err
 		}
 		c := &conn{Conn: raw, listener: l, phase: phaseNew, since: time.Now()}
@@ -219,11 +237,44 @@
 		t.count(l, "Connections", "Refused")
 		return false
 	}
+	if !t.take("Sockets", t.opts.Sockets, l, 1) {
+		return false
+	}
 	t.conns[l][c] = true
 	_ = c.applyDeadline()
 	return true
 }
 
+// take takes n of a supply for a connection, for which others may be closed. It returns false if there is no room. The caller holds mu.
+func (t *Table) take(bound string, from *supply.Limit, l *listener, n int64) bool {
+	for !from.TakeIncoming(n) {
+		if !t.closeAny(bound) {
+			t.count(l, bound, "Refused")
+			return false
+		}
+	}
+	return true
+}
+
+// closeAny closes a connection of the listener that has the largest part of its connections open and one that may be closed. It returns false if there is
+// none. The caller holds mu.
+func (t *Table) closeAny(bound string) bool {
+	all := slices.Collect(maps.Keys(t.conns))
+	usage := func(l *listener) float64 {
+		if l.most == 0 {
+			return 0
+		}
+		return float64(len(t.conns[l])) / float64(l.most)
+	}
+	slices.SortFunc(all, func(a, b *listener) int { return cmp.Compare(usage(b), usage(a)) })
+	for _, l := range all {
+		if t.closeOne(l, bound) {
+			return true
+		}
+	}
+	return false
+}
+
 // closeOne closes a connection of a listener to make room. It returns false if all have requests in progress. The caller holds mu.
 func (t *Table) closeOne(l *listener, bound string) bool {
 	now := time.Now()
@@ -255,6 +306,7 @@
 func (t *Table) remove(c *conn) {
 	if t.conns[c.listener][c] {
 		delete(t.conns[c.listener], c)
+		t.opts.Sockets.Return(1)
 		t.headMemory -= c.cost
 		c.cost = 0
 	}
--- a/internal/route/exchg/exchg.go
+++ b/internal/route/exchg/exchg.go
@@ -388,6 +388,11 @@
 		p.healthAttempt.Abandoned()
 		return
 	}
+	if e.Code == qm.CodeOverload {
+		// This router had no socket for the attempt.
+		p.healthAttempt.Abandoned()
+		return
+	}
 	if errors.Is(err, errCallerLeft) || ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline) || errors.Is(context.Cause(p.ctx), errNotNeeded) {
 		// The caller disconnected or the attempt was not needed any more, which says nothing about the endpoint.
 		p.healthAttempt.Abandoned()
