supply: one account of the memory of connections, requests in progress and bodies

Seen by callers: 600 streams with bodies of 18 KB take 72 MB in a router of 56 MB, streams whose heads name 3,900 parts of a prompt 67 MB, so that the platform ends it.

Cause: a caller was reckoned with 24 KiB, a connection without a request. A heap profile of 574 streams shows 92 KB each: 18 KB of body, 28 KB of stacks, 22 KB of buffers of both connections. Parts of a prompt take eight bytes for one of the head. Bodies were taken from their own limit when they were announced.

Bodies count as they arrive. Connections that are not in use give way; else a request is refused unread, with 503 and Retry-After.

--- a/internal/entry/conns/conns.go
+++ b/internal/entry/conns/conns.go
@@ -35,6 +35,8 @@
 	lineCost = 48
 	// ConnCost is the memory of a connection without a request: the stack of its goroutine, two buffers and what net/http keeps.
 	ConnCost = 24 << 10
+	// tlsCost is what TLS adds to it.
+	tlsCost = 32 << 10
 	// maxHeadFactor and minHeadMargin give the size of a head at which its connection is closed, from the largest that is accepted. Heads up to that
 	// size are read and get a response that says what is wrong.
 	maxHeadFactor = 2
@@ -60,8 +62,8 @@
 	// BodyTimeout is the longest time for the body of a request, WriteTimeout that for taking in writePartBytes of a response if its handler sets none. 0 is
 	// no limit.
 	BodyTimeout, WriteTimeout time.Duration
-	// Sockets bounds the sockets of the process; nil for no bound. The table makes its connections give way if there are no more.
-	Sockets *supply.Limit
+	// Sockets and Memory bound what the process uses together; nil for no bound. The table makes its connections give way if there is no more.
+	Sockets, Memory *supply.Limit
 	// Scope receives metrics; nil discards them. The zero Log discards lines.
 	Scope tally.Scope
 	Log   logr.Logger
@@ -97,12 +99,17 @@
 	if opts.Sockets == nil {
 		opts.Sockets = supply.New(0)
 	}
+	if opts.Memory == nil {
+		opts.Memory = supply.New(0)
+	}
 	t := &Table{opts: opts, start: time.Now(), conns: map[*listener]map[*conn]bool{}}
-	opts.Sockets.OnFull(func() bool {
-		t.mu.Lock()
-		defer t.mu.Unlock()
-		return t.closeAny("Sockets")
-	})
+	for bound, limit := range map[string]*supply.Limit{"Sockets": opts.Sockets, "Memory": opts.Memory} {
+		limit.OnFull(func() bool {
+			t.mu.Lock()
+			defer t.mu.Unlock()
+			return t.closeAny(bound)
+		})
+	}
 	return t
 }
 
@@ -210,6 +217,14 @@
 	isTLS bool
 }
 
+// connCost returns the memory of a connection without a request in bytes.
+func (l *listener) connCost() int64 {
+	if l.isTLS {
+		return ConnCost + tlsCost
+	}
+	return ConnCost
+}
+
 // Accept implements net.Listener. Errors are those of the other listener: a server goes on after a temporary one only if it is not wrapped.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
@@ -240,6 +255,10 @@
 	if !t.take("Sockets", t.opts.Sockets, l, 1) {
 		return false
 	}
+	if !t.take("Memory", t.opts.Memory, l, l.connCost()) {
+		t.opts.Sockets.Return(1)
+		return false
+	}
 	t.conns[l][c] = true
 	_ = c.applyDeadline()
 	return true
@@ -307,6 +326,7 @@
 	if t.conns[c.listener][c] {
 		delete(t.conns[c.listener], c)
 		t.opts.Sockets.Return(1)
+		t.opts.Memory.Return(c.listener.connCost() + c.cost)
 		t.headMemory -= c.cost
 		c.cost = 0
 	}
@@ -321,6 +341,7 @@
 	}
 	c.cost += cost
 	t.headMemory += cost
+	t.opts.Memory.Add(cost)
 	for t.opts.HeadMemory > 0 && t.headMemory > t.opts.HeadMemory {
 		largest := t.largestHead()
 		if largest == nil {
@@ -395,6 +416,7 @@
 	c.phase, c.since = p, time.Now()
 	if p == phaseIdle {
 		t.headMemory -= c.cost
+		t.opts.Memory.Return(c.cost)
 		c.cost, c.headBytes = 0, 0
 	}
 	if p != phaseIdle {
--- a/internal/entry/opaque/held.go
+++ b/internal/entry/opaque/held.go
@@ -3,57 +3,34 @@
 import (
 	"io"
 
-	"github.com/pkg/errors"
-
 	qm "quetzalmount.dev/quetzalmount"
 	"quetzalmount.dev/quetzalmount/internal/limit/memory"
 	"quetzalmount.dev/quetzalmount/internal/route/exchg"
 )
 
-// errMemory means that a body doesn't fit into the memory of this router beside others.
-var errMemory = errors.New("the bodies of requests take too much memory")
-
-// heldBytes are the bytes of one body that are taken from a Limit. A nil limit has no bound.
-type heldBytes struct {
-	limit *memory.Limit
-	n     int64
-}
+// firstReadBytes is the size of the buffer for a body of known length before any of it has arrived. Most bodies are smaller, and a larger one gets the
+// whole buffer once this much of it is there, so that a caller can't take memory for a body that it only announces.
+const firstReadBytes = 64 << 10
 
-// grow takes bytes until n are held, and reports whether they were free.
-func (h *heldBytes) grow(n int64) bool {
-	if h.limit == nil || n <= h.n {
-		return true
+// readFull reads a body of n bytes, whose memory it takes from held as the body arrives.
+func readFull(r io.Reader, n int64, held *memory.Body) ([]byte, error) {
+	first := min(n, firstReadBytes)
+	if !held.Grow(first) {
+		return nil, memory.ErrFull
 	}
-	if !h.limit.Take(n-h.n, n) {
-		return false
-	}
-	h.n = n
-	return true
-}
-
-// release returns the held bytes.
-func (h *heldBytes) release() {
-	if h.limit != nil {
-		h.limit.Return(h.n)
+	data := make([]byte, first)
+	if _, err := io.ReadFull(r, data); err != nil || first == n {
+		return data, err
 	}
-	h.n = 0
-}
-
-// heldReader reads a body of unknown length and holds the bytes read. It fails with errMemory.
-type heldReader struct {
-	r    io.Reader
-	held *heldBytes
-}
-
-func (h heldReader) Read(p []byte) (int, error) {
-	n, err := h.r.Read(p)
-	if !h.held.grow(h.held.n + int64(n)) {
-		return 0, errMemory
+	if !held.Grow(n) {
+		return nil, memory.ErrFull
 	}
-	return n, err
+	data = append(make([]byte, 0, n), data...)[:n]
+	_, err := io.ReadFull(r, data[first:])
+	return data, err
 }
 
-// memoryError returns the refusal of an exchange whose body doesn't fit. Memory becomes free when other exchanges have ended.
-func memoryError(x *qm.Exchange) error {
-	return qm.Refuse(qm.CodeOverload, "read body", "%v", errMemory).WithRetryAfter(min(exchg.EstimateDuration(x), maxMemoryRetryAfter))
+// memoryError returns the refusal of an exchange that doesn't fit into the memory. Memory becomes free when other exchanges have ended.
+func memoryError(x *qm.Exchange, message string) error {
+	return qm.Refuse(qm.CodeOverload, "read body", "%s", message).WithRetryAfter(min(exchg.EstimateDuration(x), maxMemoryRetryAfter))
 }
--- a/internal/entry/opaque/opaque.go
+++ b/internal/entry/opaque/opaque.go
@@ -18,6 +18,7 @@
 	"quetzalmount.dev/quetzalmount/internal/entry/strict"
 	"quetzalmount.dev/quetzalmount/internal/infra/logs"
 	"quetzalmount.dev/quetzalmount/internal/limit/memory"
+	"quetzalmount.dev/quetzalmount/internal/limit/supply"
 	"quetzalmount.dev/quetzalmount/internal/route/exchg"
 	"quetzalmount.dev/quetzalmount/internal/state/board"
 )
@@ -30,6 +31,11 @@
 	writeTimeout = 10 * time.Second
 	// writeBytes is the size of the parts in which a response is written, each within writeTimeout: the slowest caller that gets more takes 13 kbit/s.
 	writeBytes = 16 << 10
+	// requestCost is the memory of a request in progress beside its connection and body: its exchange, and the connection to an endpoint with its
+	// goroutines and buffers.
+	requestCost = 40 << 10
+	// headCostFactor is the memory that a byte of a head takes beside the head itself once it is decoded: four bytes can name a part of a prompt.
+	headCostFactor = 8
 )
 
 // Codec decodes and encodes the headers of the callers' protocol.
@@ -63,6 +69,8 @@
 	StopTime func() (time.Time, bool)
 	// Memory limits the bodies of all requests together; nil for no limit.
 	Memory *memory.Limit
+	// Supply is the memory for requests in progress; nil for no limit.
+	Supply *supply.Limit
 	// Stopping is done when open requests must be answered because the process ends; nil for never.
 	Stopping context.Context
 	Log      logr.Logger
@@ -105,6 +113,14 @@
 		h.refuse(w, r, qm.Refuse(qm.CodeLeaving, "admit", "this router stops before the request would end").WithRetryAfter(leavingRetryAfter), true)
 		return
 	}
+	if h.deps.Supply != nil {
+		cost := int64(requestCost + headCostFactor*headBytes)
+		if h.deps.Supply.Take(cost) != nil {
+			h.refuse(w, r, qm.AsError(memoryError(x, "too many requests are in progress")), true)
+			return
+		}
+		defer h.deps.Supply.Return(cost)
+	}
 	defer x.DropBody()
 	if err := h.readBody(w, r, x, routes.RequestLimits.MaxBodyBytes); err != nil {
 		h.refuse(w, r, qm.AsError(err), true)
@@ -164,11 +180,8 @@
 	if limit > 0 && r.ContentLength > limit {
 		return qm.Refuse(qm.CodeTooLarge, "read body", "the body has %d bytes, more than %d", r.ContentLength, limit)
 	}
-	held := &heldBytes{limit: h.deps.Memory}
-	x.ReleaseBody = held.release
-	if !held.grow(r.ContentLength) {
-		return memoryError(x)
-	}
+	held := h.deps.Memory.Body()
+	x.ReleaseBody = held.Release
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(earlier(time.Now().Add(bodyReadTimeout), x.EffectiveDeadline))
 	var err error
@@ -177,17 +190,16 @@
 		body = io.LimitReader(r.Body, limit+1)
 	}
 	if r.ContentLength > 0 {
-		x.Body = make([]byte, r.ContentLength)
-		_, err = io.ReadFull(body, x.Body)
+		x.Body, err = readFull(body, r.ContentLength, held)
 		if err == nil {
 			// Makes net/http see the end of the body. Only then does it watch the connection and detect that the caller disconnects.
 			_, _ = r.Body.Read(make([]byte, 1))
 		}
 	} else {
-		x.Body, err = io.ReadAll(heldReader{body, held})
+		x.Body, err = io.ReadAll(held.Reader(body, 1))
 	}
-	if errors.Is(err, errMemory) {
-		return memoryError(x)
+	if errors.Is(err, memory.ErrFull) {
+		return memoryError(x, err.Error())
 	}
 	if err != nil {
 		return qm.Refuse(qm.CodeRequestTimeout, "read body", "the body did not arrive: %v", err).WithCause(err)
--- a/internal/limit/memory/memory_test.go
+++ b/internal/limit/memory/memory_test.go
@@ -1,9 +1,13 @@
 package memory_test
 
 import (
+	"errors"
+	"io"
+	"strings"
 	"testing"
 
 	"quetzalmount.dev/quetzalmount/internal/limit/memory"
+	"quetzalmount.dev/quetzalmount/internal/limit/supply"
 )
 
 // TestTake guards against large bodies that together exceed the memory of an instance, and that keep small ones out.
@@ -53,3 +57,45 @@
 		}
 	}
 }
+
+// TestStalledBodyGivesWay guards against bodies that don't come to their end and keep others out of the memory.
+func TestStalledBodyGivesWay(t *testing.T) {
+	const instance, size = 8 << 20, 1000
+	l := memory.New(instance)
+	var stalled []*memory.Body
+	for b := l.Body(); b.Grow(size); b = l.Body() {
+		stalled = append(stalled, b)
+	}
+	l.OnFull(func() bool {
+		if len(stalled) == 0 {
+			return false
+		}
+		go stalled[0].Release()
+		stalled = stalled[1:]
+		return true
+	})
+	if b := l.Body(); !b.Grow(size) {
+		t.Error("a body does not fit although another one can give way")
+	}
+}
+
+// TestSharedSupply guards against bodies that take memory which connections and requests have taken.
+func TestSharedSupply(t *testing.T) {
+	shared := supply.New(10_000)
+	l := memory.New(1 << 20).Within(shared)
+	if err := shared.Take(9000); err != nil {
+		t.Fatal(err)
+	}
+	b := l.Body()
+	if _, err := io.ReadAll(b.Reader(strings.NewReader(strings.Repeat("x", 600)), 2)); !errors.Is(err, memory.ErrFull) {
+		t.Errorf("reading 600 bytes at 2 each into a supply with 1,000 free: %v, want %v", err, memory.ErrFull)
+	}
+	shared.Return(9000)
+	if !b.Grow(1200) {
+		t.Error("a body does not fit into a supply that is free")
+	}
+	b.Release()
+	if n := shared.Used(); n != 0 {
+		t.Errorf("%d are in use after all was returned", n)
+	}
+}
--- a/internal/limit/supply/supply.go
+++ b/internal/limit/supply/supply.go
@@ -18,8 +18,11 @@
 // incomingReserveDivisor gives the part of a supply that connections of clients leave free.
 const incomingReserveDivisor = 8
 
-// Sockets are the sockets of this process. Its servers and clients share them.
-var Sockets = New(0)
+// Sockets and Memory are the sockets and the bytes of this process. Its servers and clients share them.
+var (
+	Sockets = New(0)
+	Memory  = New(0)
+)
 
 // Limit is a bound of what is in use of a supply. It is safe for concurrent use.
 type Limit struct {
