platform: a body that doesn't come to its end gives way to another one

Seen by callers: clients that send all but the end of their bodies hold the memory for bodies until their deadline; others get 503 meanwhile.

Cause: the limit of bodies refuses whoever comes last.

--- a/internal/entry/conns/conns.go
+++ b/internal/entry/conns/conns.go
@@ -309,6 +309,27 @@
 	return true
 }
 
+// CloseReader closes the connection of the request whose body has been awaited for the longest time, unless that is a moment. It returns false if there is
+// none.
+func (t *Table) CloseReader() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	var oldest *conn
+	for _, all := range t.conns {
+		for c := range all {
+			if c.phase == phaseBody && now.Sub(c.since) >= freshTime && (oldest == nil || c.since.Before(oldest.since)) {
+				oldest = c
+			}
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	t.closeFor(oldest, "BodyMemory")
+	return true
+}
+
 // closeFor closes a connection because of a bound. The caller holds mu.
 func (t *Table) closeFor(c *conn, bound string) {
 	t.count(c.listener, bound, "Closed")
