peer: messages take the memory that decoding them needs

Seen by callers: 20 clients that send messages of 200 KB to the listener for other routers take 166 MB in a router of 56 MB.

Cause: the bytes of a message are limited, to 8 MB, and decoded without one. A field of two bytes becomes a structure of some hundred.

Fix: a message is read whole, its fields are counted, and three bytes for each of its bytes and 128 for each field are taken from a limit of an eighth of the memory. What doesn't fit gets 503 with Retry-After. At the target size, 3,200 engines, a message takes less than 1 MB.

--- a/internal/member/peer/options.go
+++ b/internal/member/peer/options.go
@@ -6,6 +6,7 @@
 
 	qm "quetzalmount.dev/quetzalmount"
 	"quetzalmount.dev/quetzalmount/internal/limit/fatal"
+	"quetzalmount.dev/quetzalmount/internal/limit/memory"
 	"quetzalmount.dev/quetzalmount/internal/member/roster"
 	"quetzalmount.dev/quetzalmount/internal/state/board"
 	"quetzalmount.dev/quetzalmount/internal/wire/peerpb"
@@ -83,6 +84,8 @@
 	Lend func(context.Context, *peerpb.BorrowRequest) (*peerpb.BorrowResponse, error)
 
 	RoundInterval, UpdateInterval, Timeout time.Duration
+	// Memory limits the messages of all calls together; nil for no limit.
+	Memory *memory.Limit
 	// Reports exchanges observations of requests that end engines; nil for none.
 	Reports Reports
 }
--- a/internal/member/peer/server.go
+++ b/internal/member/peer/server.go
@@ -4,10 +4,11 @@
 	"context"
 	"net/http"
 
+	"github.com/pkg/errors"
 	"github.com/twitchtv/twirp"
 
 	qm "quetzalmount.dev/quetzalmount"
-	"quetzalmount.dev/quetzalmount/internal/client/pool"
+	"quetzalmount.dev/quetzalmount/internal/limit/memory"
 	"quetzalmount.dev/quetzalmount/internal/wire/peerpb"
 )
 
@@ -20,8 +21,19 @@
 func (p *Peer) Handler() http.Handler {
 	h := peerpb.NewPeerServer(p)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		// The generated code reads a body without a limit.
-		body := pool.LimitBody(r.Context(), r.Body, pool.ControlBudget)
+		// The generated code reads and decodes a body without a limit.
+		held := p.opts.Memory.Body()
+		defer held.Release()
+		body, err := readBody(r, held)
+		if errors.Is(err, memory.ErrFull) {
+			w.Header().Set("Retry-After", memoryRetryAfter)
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
 		defer func() { _ = body.Close() }()
 		r.Body = body
 		// Peers do not use the Date header; nil prevents net/http from adding it.
