serve: connections of operators and other routers have a bound, and one account with those of callers

Seen by callers: 800 idle connections to the listener for operators, or to that for other routers, end the process, as do requests to them whose body doesn't come.

Cause: only connections of callers had a bound, 4,096 whatever the process may use, and each listener had a table of its own.

Fix: the process keeps to the memory and the descriptors that its settings name, by default half of the machine's memory and its own limit of descriptors. One table holds the connections of all listeners; operators get 64, other routers half as many as callers.

--- a/internal/entry/server/components.go
+++ b/internal/entry/server/components.go
@@ -19,9 +19,11 @@
 	"quetzalmount.dev/quetzalmount/internal/infra/meter"
 	"quetzalmount.dev/quetzalmount/internal/limit/fatal"
 	"quetzalmount.dev/quetzalmount/internal/limit/gate"
+	"quetzalmount.dev/quetzalmount/internal/limit/memory"
 	"quetzalmount.dev/quetzalmount/internal/limit/pause"
 	"quetzalmount.dev/quetzalmount/internal/limit/share"
 	"quetzalmount.dev/quetzalmount/internal/limit/slot"
+	"quetzalmount.dev/quetzalmount/internal/limit/supply"
 	"quetzalmount.dev/quetzalmount/internal/member/advice"
 	"quetzalmount.dev/quetzalmount/internal/member/health"
 	"quetzalmount.dev/quetzalmount/internal/member/peer"
@@ -77,17 +79,20 @@
 	observer qm.CacheObserver
 	feed     *feed.Feed
 	streams  *stream.Streamer
-	invoker  *invoke.Invoker
-	claims   *claim.Claims
-	orders   *order.Controller
-	relay    *relay.Relay
+	// bodies and messages limit the memory of the bodies of callers' requests and of the messages of other routers.
+	bodies, messages *memory.Limit
+	invoker          *invoke.Invoker
+	claims           *claim.Claims
+	orders           *order.Controller
+	relay            *relay.Relay
 }
 
-// newComponents creates and starts the components of a router. If one fails, it closes those already started.
-func newComponents(s *conf.Settings, version string, log logr.Logger) (*components, error) {
+// newComponents creates and starts the components of a router with a memory in bytes. If one fails, it closes those already started.
+func newComponents(s *conf.Settings, memoryBytes int64, version string, log logr.Logger) (*components, error) {
 	ctx, stop := context.WithCancel(context.Background())
 	c := &components{
 		settings: s, version: version, log: log, incarnation: qm.Incarnation(uuid.NewString()), stop: stop, board: board.New(),
+		bodies: memory.New(memoryBytes).Within(supply.Memory), messages: memory.New(memoryBytes).Within(supply.Memory),
 	}
 	if err := c.addClients(); err != nil {
 		c.close()
@@ -197,6 +202,7 @@
 		Reports: c.fatal,
 		Board:   c.board, Roster: c.roster, Self: c.selfMember(), Client: &peerClient{key: c.settings.PeerKey, client: c.peerHTTP},
 		Scheme:   c.peerScheme(),
+		Memory:   c.messages,
 		Snapshot: c.tableSnapshot, Lend: c.lendShares, RoundInterval: c.settings.PeerRoundInterval,
 	})
 	c.onClose(c.peer.Close)
--- a/internal/entry/server/listen.go
+++ b/internal/entry/server/listen.go
@@ -21,9 +21,6 @@
 // maxHeaderBytes limits the headers of a request. Callers send little more than a key and an ID.
 const maxHeaderBytes = 16 << 10
 
-// headMemory is the memory in bytes that the heads of requests to one listener may take. Those of callers take a few kilobytes each.
-const headMemory = 32 << 20
-
 // idleTimeout is the time after which a keep-alive connection without requests is closed.
 const idleTimeout = 2 * time.Minute
 
@@ -35,14 +32,12 @@
 }
 
 // listen opens a listener on a TCP address. The listener uses TLS unless certFile is empty. maxConns limits the concurrent
-// connections, 0 for no limit.
-func listen(name, address, certFile, keyFile string, maxConns int, handler http.Handler, s *conf.Settings) (*listener, error) {
+// connections, 0 for no limit; table holds them.
+func listen(table *conns.Table, name, address, certFile, keyFile string, maxConns int, handler http.Handler, s *conf.Settings) (*listener, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.WithMessagef(err, "listen for %s", name)
 	}
-	table := conns.New(conns.Options{HeadMemory: headMemory, MaxHeadBytes: func() int { return maxHeaderBytes }, BodyTimeout: s.ReadBodyTimeout,
-		WriteTimeout: s.WriteStallTimeout})
 	l = table.Wrap(l, name, maxConns, certFile != "")
 	if certFile != "" {
 		reloader, err := certs.New(certFile, keyFile)
--- a/internal/entry/server/listen_test.go
+++ b/internal/entry/server/listen_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/go-logr/logr"
 
+	"quetzalmount.dev/quetzalmount/internal/entry/conns"
 	"quetzalmount.dev/quetzalmount/internal/infra/conf"
 )
 
@@ -26,7 +27,7 @@
 func startListener(t *testing.T, certFile, keyFile string, maxConns int) *listener {
 	t.Helper()
 	s := &conf.Settings{ReadHeaderTimeout: 200 * time.Millisecond, ReadBodyTimeout: 400 * time.Millisecond}
-	l, err := listen("test", "127.0.0.1:0", certFile, keyFile, maxConns, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	l, err := listen(resourcesOf(s).newTable(s, nil, logr.Discard()), "test", "127.0.0.1:0", certFile, keyFile, maxConns, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if _, err := io.ReadAll(r.Body); err != nil {
 			http.Error(w, err.Error(), http.StatusRequestTimeout)
 		}
@@ -145,7 +146,7 @@
 func TestFailedListener(t *testing.T) {
 	var all []*listener
 	for range 2 {
-		l, err := listen("test", "127.0.0.1:0", "", "", 0, http.NotFoundHandler(), &conf.Settings{})
+		l, err := listen(conns.New(conns.Options{}), "test", "127.0.0.1:0", "", "", 0, http.NotFoundHandler(), &conf.Settings{})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/entry/server/longreq_test.go
+++ b/internal/entry/server/longreq_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-logr/logr"
 
+	"quetzalmount.dev/quetzalmount/internal/entry/conns"
 	"quetzalmount.dev/quetzalmount/internal/infra/conf"
 )
 
@@ -20,7 +21,7 @@
 func TestRequestLongerThanReadTimeout(t *testing.T) {
 	const readTimeout = 100 * time.Millisecond
 	s := &conf.Settings{ReadHeaderTimeout: readTimeout, ReadBodyTimeout: readTimeout}
-	l, err := listen("test", "127.0.0.1:0", "", "", 0, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	l, err := listen(conns.New(conns.Options{}), "test", "127.0.0.1:0", "", "", 0, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if _, err := io.ReadAll(r.Body); err != nil {
 			http.Error(w, err.Error(), http.StatusRequestTimeout)
 			return
@@ -83,7 +84,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			begun := make(chan struct{})
-			l, err := listen("test", "127.0.0.1:0", "", "", 0, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			l, err := listen(conns.New(conns.Options{}), "test", "127.0.0.1:0", "", "", 0, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 				close(begun)
 				select {
 				case <-r.Context().Done():
--- a/internal/entry/server/server.go
+++ b/internal/entry/server/server.go
@@ -24,17 +24,20 @@
 type Server struct {
 	settings   *conf.Settings
 	log        logr.Logger
+	resources  resources
 	components *components
 	listeners  []*listener
 }
 
 // New builds a router and opens its listeners. Requests are not served before Run is called.
 func New(s *conf.Settings, version string, log logr.Logger) (*Server, error) {
-	c, err := newComponents(s, version, log)
+	r := resourcesOf(s)
+	r.apply()
+	c, err := newComponents(s, r.memory, version, log)
 	if err != nil {
 		return nil, err
 	}
-	server := &Server{settings: s, log: log, components: c}
+	server := &Server{settings: s, log: log, resources: r, components: c}
 	if err := server.openListeners(); err != nil {
 		server.close()
 		return nil, err
@@ -44,20 +47,24 @@
 
 // openListeners opens the listeners for callers, operators and peers.
 func (s *Server) openListeners() error {
+	table := s.resources.newTable(s.settings, s.components.meter.Scope(), s.log.WithName("connections"))
+	maxCallers := s.resources.maxCallerConns(s.settings.MaxConns)
+	s.components.bodies.OnFull(table.CloseReader)
+	s.components.messages.OnFull(table.CloseReader)
 	for _, l := range []struct {
 		name, address, cert, key string
 		maxConns                 int
 		newHandler               newHandlerFunc
 	}{
-		{"callers", s.settings.CallersAddress, s.settings.CallersCert, s.settings.CallersKey, s.settings.MaxConns, s.components.callerHandler},
-		{"operators", s.settings.OperatorsAddress, s.settings.OperatorsCert, s.settings.OperatorsKey, 0, s.components.operatorHandler},
-		{"peers", s.settings.PeersAddress, s.settings.PeersCert, s.settings.PeersKey, 0, s.components.peerHandler},
+		{"callers", s.settings.CallersAddress, s.settings.CallersCert, s.settings.CallersKey, maxCallers, s.components.callerHandler},
+		{"operators", s.settings.OperatorsAddress, s.settings.OperatorsCert, s.settings.OperatorsKey, maxOperatorConns, s.components.operatorHandler},
+		{"peers", s.settings.PeersAddress, s.settings.PeersCert, s.settings.PeersKey, max(maxCallers/peerConnsDivisor, 1), s.components.peerHandler},
 	} {
 		h, err := l.newHandler()
 		if err != nil {
 			return err
 		}
-		opened, err := listen(l.name, l.address, l.cert, l.key, l.maxConns, h, s.settings)
+		opened, err := listen(table, l.name, l.address, l.cert, l.key, l.maxConns, h, s.settings)
 		if err != nil {
 			return err
 		}
