serve: bodies and requests in progress have a bound in memory

Seen by callers: 60 bodies of 4 MiB take 356 MB in a process that may have 128.

Cause: a body has a limit, all of them together have none.

A body that doesn't arrive in time gets 408, which says that nothing was run, in place of 400.

--- a/internal/entry/front/errors.go
+++ b/internal/entry/front/errors.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	qm "quetzalmount.dev/quetzalmount"
+	"quetzalmount.dev/quetzalmount/internal/limit/memory"
 	"quetzalmount.dev/quetzalmount/internal/wire/caller"
 )
 
@@ -69,6 +71,10 @@
 	case errors.As(err, &tooLarge):
 		return qm.Refuse(qm.CodeTooLarge, "read body",
 			"The request is larger than %d bytes; send a shorter one.", tooLarge.Limit)
+	case errors.Is(err, memory.ErrFull):
+		return errNoMemory("The bodies of requests take too much memory")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return qm.Refuse(qm.CodeRequestTimeout, "read body", "The body did not arrive in time; nothing was run.")
 	case errors.As(err, &media):
 		return qm.Refuse(qm.CodeBadRequest, "read body", "The body must be JSON; send \"Content-Type: application/json\".")
 	case errors.As(err, &decode), errors.As(err, &params):
--- a/internal/entry/front/front.go
+++ b/internal/entry/front/front.go
@@ -15,6 +15,8 @@
 
 	qm "quetzalmount.dev/quetzalmount"
 	"quetzalmount.dev/quetzalmount/internal/infra/meter"
+	"quetzalmount.dev/quetzalmount/internal/limit/memory"
+	"quetzalmount.dev/quetzalmount/internal/limit/supply"
 	"quetzalmount.dev/quetzalmount/internal/member/advice"
 	"quetzalmount.dev/quetzalmount/internal/state/board"
 	"quetzalmount.dev/quetzalmount/internal/wire/caller"
@@ -44,9 +46,12 @@
 	Admit func(ctx context.Context, team *qm.Team, cost qm.Cost) (qm.Grant, error)
 	// RunRepeatable runs a call that its service allows to run more than once.
 	RunRepeatable func(ctx context.Context, c *qm.Call) (qm.CallResult, error)
-	Advise        AdviseFunc
-	Meter         *meter.Meter
-	Log           logr.Logger
+	// Memory limits the bodies of all requests together, Supply the memory for requests in progress; nil for no limit.
+	Memory *memory.Limit
+	Supply *supply.Limit
+	Advise AdviseFunc
+	Meter  *meter.Meter
+	Log    logr.Logger
 }
 
 // Handler implements the interfaces that are generated from the callers' API.
--- a/internal/entry/front/http.go
+++ b/internal/entry/front/http.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"mime"
 	"net/http"
 	"time"
@@ -31,12 +32,53 @@
 			// Makes the caller connect again, to another instance.
 			w.Header().Set("Connection", "close")
 		}
-		r.Body = http.MaxBytesReader(w, r.Body, h.opts.MaxBodyBytes)
+		r = r.WithContext(context.WithValue(r.Context(), requestIDContextKey, id))
 		fw := &flushWriter{ResponseWriter: w, control: http.NewResponseController(w), writeTimeout: h.opts.WriteTimeout}
-		next.ServeHTTP(fw, r.WithContext(context.WithValue(r.Context(), requestIDContextKey, id)))
+		release, err := h.reserve(r)
+		if err != nil {
+			w.Header().Set("Connection", "close") // the body is not read
+			h.writeError(r.Context(), fw, h.NewError(r.Context(), err))
+			return
+		}
+		defer release()
+		held := h.deps.Memory.Body()
+		defer held.Release()
+		r.Body = http.MaxBytesReader(w, heldBody{held.Reader(r.Body, bodyCostFactor), r.Body}, h.opts.MaxBodyBytes)
+		next.ServeHTTP(fw, r)
 	})
 }
 
+const (
+	// requestCost is the memory of a request in progress beside its connection and body: its completion or call, and the connection to an endpoint.
+	requestCost = 40 << 10
+	// bodyCostFactor is the memory that a byte of a body takes until its request has ended: it is buffered, decoded and written to an endpoint.
+	bodyCostFactor = 3
+	// memoryRetryAfter is the Retry-After of a request that doesn't fit into the memory. Others end all the time.
+	memoryRetryAfter = time.Second
+)
+
+// reserve takes the memory for a request in progress, if it can have a body. The error is a refusal.
+func (h *Handler) reserve(r *http.Request) (release func(), err error) {
+	if h.deps.Supply == nil || r.ContentLength == 0 {
+		return func() {}, nil
+	}
+	if h.deps.Supply.Take(requestCost) != nil {
+		return nil, errNoMemory("Too many requests are in progress")
+	}
+	return func() { h.deps.Supply.Return(requestCost) }, nil
+}
+
+// errNoMemory returns the refusal of a request that doesn't fit into the memory.
+func errNoMemory(cause string) *qm.Error {
+	return qm.Refuse(qm.CodeOverload, "read body", "%s; nothing was run, try again later or use another address.", cause).WithRetryAfter(memoryRetryAfter)
+}
+
+// heldBody is a body that takes memory as it is read.
+type heldBody struct {
+	io.Reader
+	io.Closer
+}
+
 func requestIDFromContext(ctx context.Context) qm.RequestID {
 	id, _ := ctx.Value(requestIDContextKey).(qm.RequestID)
 	return id
--- a/internal/entry/server/handlers.go
+++ b/internal/entry/server/handlers.go
@@ -6,6 +6,7 @@
 	qm "quetzalmount.dev/quetzalmount"
 	"quetzalmount.dev/quetzalmount/internal/entry/front"
 	"quetzalmount.dev/quetzalmount/internal/entry/opsapi"
+	"quetzalmount.dev/quetzalmount/internal/limit/supply"
 	"quetzalmount.dev/quetzalmount/internal/wire/peerpb"
 )
 
@@ -18,7 +19,7 @@
 		HeartbeatInterval: s.HeartbeatInterval, WriteTimeout: s.WriteStallTimeout,
 	}, front.Deps{
 		Board: c.board, Completer: c.relay, Calls: c.claims, RunRepeatable: c.invoker.CallRepeatable, Admit: c.gate.Admit,
-		Advise: c.adviser.For, Meter: c.meter, Log: c.log.WithName("front"),
+		Memory: c.bodies, Supply: supply.Memory, Advise: c.adviser.For, Meter: c.meter, Log: c.log.WithName("front"),
 	})
 }
 
