serve: a crowd over TLS as a test

Clients that stay silent, send half of a handshake, no TLS, or no request after the handshake, at the listener for other routers.

--- a/internal/entry/e2e/crowd_test.go
+++ b/internal/entry/e2e/crowd_test.go
@@ -1,6 +1,7 @@
 package e2e_test
 
 import (
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
@@ -106,6 +107,16 @@
 	return 0
 }
 
+// settings returns the settings file of a router.
+func (r *router) settings(t *testing.T) string {
+	t.Helper()
+	data, err := os.ReadFile(r.settingsFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(data)
+}
+
 // checkCrowd fails the test if the process has ended, has exceeded its limits or doesn't answer ordinary requests at its listeners.
 func (d *deployment) checkCrowd(r *router, when string) {
 	d.t.Helper()
@@ -119,12 +130,18 @@
 	if err != nil || len(entries) > crowdDescriptors {
 		d.t.Errorf("%s: %d descriptors, at most %d; error %v", when, len(entries), crowdDescriptors, err)
 	}
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 5 * time.Second}
+	client := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{
+		DisableKeepAlives: true, TLSClientConfig: &tls.Config{InsecureSkipVerify: true},
+	}}
+	peers := "http://" + r.peersAddress
+	if strings.Contains(r.settings(d.t), "PeersCert") {
+		peers = "https://" + r.peersAddress
+	}
 	for _, p := range []struct{ name, method, url, body, header, key string }{
-		{"callers", http.MethodPost, r.callersAddress + "/v1/chat/completions",
+		{"callers", http.MethodPost, "http://" + r.callersAddress + "/v1/chat/completions",
 			`{"model":"scribe","max_tokens":3,"messages":[{"role":"user","content":"x"}]}`, "Authorization", "Bearer " + teams[0].Key},
-		{"operators", http.MethodGet, r.operatorsAddress + "/metrics", "", "Authorization", "Bearer " + operatorKey},
-		{"peers", http.MethodPost, r.peersAddress + peerpb.PeerPathPrefix + "FetchTable", "{}", "X-Peer-Key", "0123456789abcdef"},
+		{"operators", http.MethodGet, "http://" + r.operatorsAddress + "/metrics", "", "Authorization", "Bearer " + operatorKey},
+		{"peers", http.MethodPost, peers + peerpb.PeerPathPrefix + "FetchTable", "{}", "X-Peer-Key", "0123456789abcdef"},
 	} {
 		status, failure := 0, ""
 		for end := time.Now().Add(waitTimeout); status != http.StatusOK && time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
@@ -138,7 +155,7 @@
 
 // ask sends a request and returns the status and the body, status 0 and the error if it failed.
 func ask(client *http.Client, method, url, body, header, key string) (status int, text string) {
-	req, err := http.NewRequest(method, "http://"+url, strings.NewReader(body))
+	req, err := http.NewRequest(method, url, strings.NewReader(body))
 	if err != nil {
 		return 0, err.Error()
 	}
@@ -172,6 +189,34 @@
 	}
 }
 
+// TestCrowdServeTLS guards against clients that keep others out by connections over TLS that don't get as far as a request.
+func TestCrowdServeTLS(t *testing.T) {
+	certFile, keyFile := writeCert(t)
+	for name, send := range map[string]func(net.Conn){
+		"silent": text(""),
+		// The head of a record with the first half of a greeting.
+		"half a handshake": text("\x16\x03\x01\x20\x00\x01\x00\x1f\xfc\x03\x03" + strings.Repeat("x", 4<<10)),
+		"no TLS":           text("GET / HTTP/1.1\r\n" + strings.Repeat("a:\r\n", crowdManyFields)),
+		"no request": func(c net.Conn) {
+			secure := tls.Client(c, &tls.Config{InsecureSkipVerify: true})
+			if secure.Handshake() == nil {
+				_, _ = io.Copy(io.Discard, secure)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			o := crowdOptions()
+			o.settings = append(o.settings, [3]string{"TLS", "PeersCert", certFile}, [3]string{"TLS", "PeersKey", keyFile}, [3]string{"TLS", "PeersCA", certFile})
+			d := deploy(t, o)
+			r := d.routers[0]
+			stop := crowd(t, r.peersAddress, 2*crowdDescriptors, send)
+			time.Sleep(2 * time.Second)
+			d.checkCrowd(r, "beside the crowd")
+			stop()
+		})
+	}
+}
+
 // crowdCase is what a crowd of clients sends to an address of a router.
 type crowdCase struct {
 	address func(*router) string
